--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := model policy control node cli testbed
+DEPLOYMENT ?= marina
+SEED ?= 1
+SEEDS ?= 1000
+
+.PHONY: demo test soak bench capacity report lint wheels clean
+
+demo: $(VENV)/ready  ## run one deployment of the brief as separate processes
+	$(BIN)/python -m snipebay_testbed.demo --deployment $(DEPLOYMENT) --seed $(SEED)
+
+test: $(VENV)/ready  ## run all tests
+	$(BIN)/python -m snipebay_testbed.run_tests
+
+lint: $(VENV)/ready  ## check format, names and layers
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+	$(BIN)/lint-imports
+
+soak: $(VENV)/ready  ## put the promises through more seeds
+	$(BIN)/python -m snipebay_testbed.soak --seeds $(SEEDS)
+
+bench: $(VENV)/ready  ## measure the steering decisions in virtual time
+	$(BIN)/python -m snipebay_testbed.bench --seed $(SEED)
+
+report: $(VENV)/ready  ## run the bench and draw its table and plots into run/
+	$(BIN)/python -m snipebay_testbed.bench --seed $(SEED) --report run/report
+
+capacity: $(VENV)/ready  ## measure the slopes behind docs/CAPACITY.md
+	$(BIN)/python -m snipebay_testbed.capacity
+
+wheels: $(VENV)/ready  ## build a wheel of each package into dist/
+	for name in $(PACKAGES); do \
+	  $(BIN)/python -m build --wheel --no-isolation --outdir dist packages/snipebay-$$name || exit 1; \
+	done
+
+$(VENV)/ready: constraints.txt pyproject.toml $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt setuptools wheel build ruff import-linter
+	$(BIN)/python -m pip install --quiet --no-build-isolation --constraint constraints.txt \
+	  $(foreach name,$(PACKAGES),--editable packages/snipebay-$(name))
+	touch $@
+
+clean:
+	rm -rf $(VENV) dist run
--- /dev/null
+++ b/packages/snipebay-cli/src/snipebay_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The snipebay operator client."""
--- /dev/null
+++ b/packages/snipebay-control/src/snipebay_control/__init__.py
@@ -0,0 +1,1 @@
+"""Pure replicated control state of snipebay."""
--- /dev/null
+++ b/packages/snipebay-control/src/snipebay_control/claims.py
@@ -0,0 +1,139 @@
+"""Table of idempotency keys: at most one claim on each may run."""
+
+import attrs
+from snipebay_model.messages import Abort, Claim, Finish, Outcome
+
+__all__ = ["ClaimRow", "ClaimTable"]
+
+RUNNING = "running"
+DONE = "done"
+ABORTED = "aborted"
+UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class ClaimRow:
+    """What is known of one idempotency key.
+
+    Attributes:
+        service: Service of the request.
+        key: Idempotency key.
+        claim_id: Claim that the status belongs to.
+        claimer: Instance that made it.
+        status: ``running``, ``done``, ``aborted`` or ``unknown``.
+        expires_ms: Cluster time after which the key is forgotten.
+        digest: Digest of the request, empty before any claim was granted.
+        http_status: Status of the answer.
+        content_type: Content type of the answer.
+        answer: Body of the answer, None when it was not kept.
+        aborted_ids: Claims that will never be granted.
+    """
+
+    service: str
+    key: str
+    claim_id: str
+    claimer: str
+    status: str
+    expires_ms: int
+    digest: str = ""
+    http_status: int = 0
+    content_type: str = ""
+    answer: bytes | None = None
+    aborted_ids: tuple[str, ...] = ()
+
+
+@attrs.define
+class ClaimTable:
+    """Claims by service and key, in the order in which they were made."""
+
+    rows: dict = attrs.Factory(dict)
+
+    def claim(self, cmd: Claim, now_ms):
+        """Return the outcome of a claim, granting it if the key is free."""
+        row = self.rows.get((cmd.service, cmd.key))
+        if row is not None:
+            refusal = self._refusal(row, cmd)
+            if refusal is not None:
+                return refusal
+        aborted_ids = row.aborted_ids if row is not None else ()
+        self._put(
+            ClaimRow(
+                cmd.service,
+                cmd.key,
+                cmd.claim_id,
+                cmd.claimer,
+                RUNNING,
+                now_ms + cmd.retention_ms,
+                cmd.digest,
+                aborted_ids=aborted_ids,
+            )
+        )
+        return Outcome("ok")
+
+    def finish(self, cmd: Finish):
+        """Record how a claimed request ended."""
+        row = self.rows.get((cmd.service, cmd.key))
+        if row is None or row.claim_id != cmd.claim_id:
+            return Outcome("missing", detail=f"no claim {cmd.claim_id!r}")
+        if row.status != RUNNING:
+            return Outcome("ok" if row.status == DONE else row.status)
+        self._put(
+            attrs.evolve(
+                row,
+                status=UNKNOWN if cmd.unknown else DONE,
+                http_status=cmd.status,
+                content_type=cmd.content_type,
+                answer=cmd.answer,
+            )
+        )
+        return Outcome("ok")
+
+    def abort(self, cmd: Abort, now_ms, retention_ms):
+        """Record that a claim was not run, also when it has not arrived yet."""
+        row = self.rows.get((cmd.service, cmd.key))
+        if row is None:
+            row = ClaimRow(cmd.service, cmd.key, "", "", ABORTED, now_ms + retention_ms)
+        elif row.claim_id == cmd.claim_id and row.status in (DONE, UNKNOWN):
+            return Outcome(row.status)
+        mine = row.claim_id == cmd.claim_id
+        self._put(
+            attrs.evolve(
+                row,
+                status=ABORTED if mine else row.status,
+                aborted_ids=(*row.aborted_ids, cmd.claim_id),
+            )
+        )
+        # Another claim on the key is another request's run, which the caller
+        # of this one must not take for "not run".
+        others_run = not mine and row.status != ABORTED
+        return Outcome("running" if others_run else "ok")
+
+    def reap(self, now_ms):
+        """Forget keys past their retention; return how many."""
+        expired = [key for key, row in self.rows.items() if row.expires_ms <= now_ms]
+        for key in expired:
+            del self.rows[key]
+        return len(expired)
+
+    def _put(self, row):
+        self.rows[row.service, row.key] = row
+
+    @staticmethod
+    def _refusal(row, cmd):
+        """Return why a claim can't be granted, or None when it can."""
+        if cmd.claim_id in row.aborted_ids:
+            return Outcome("aborted", detail=f"claim {cmd.claim_id!r} was aborted")
+        if row.status == ABORTED:
+            return None
+        if row.digest != cmd.digest:
+            return Outcome("mismatch", detail=f"key {row.key!r} had another request")
+        if row.claim_id == cmd.claim_id and row.status == RUNNING:
+            return Outcome("ok")
+        if row.status == DONE:
+            return Outcome(
+                "replay",
+                status=row.http_status,
+                content_type=row.content_type,
+                answer=row.answer,
+            )
+        return Outcome(row.status, detail=f"claimed by {row.claimer!r}")
--- /dev/null
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -0,0 +1,426 @@
+"""A control instance: the replicated log, the state on it and its leases."""
+
+import attrs
+import msgspec
+from returns.result import Success
+from snipebay_model import messages
+from snipebay_model.codec import CodecError, decode_body, encode_body
+from snipebay_model.messages import (
+    CommandReply,
+    CommandRequest,
+    Hello,
+    Outcome,
+    Reap,
+    RemoveBackend,
+    RemoveEntry,
+    Renew,
+    RenewReply,
+    StatusReply,
+    StatusRequest,
+)
+from snipebay_model.settings import parse_settings
+from snipebay_model.status import (
+    ChangeStatus,
+    ClusterStatus,
+    EntryStatus,
+    MemberStatus,
+)
+
+from snipebay_control.membership import instance_of, next_members
+from snipebay_control.raft import Raft, RaftTiming
+from snipebay_control.sessions import LeaseTiming, Sessions
+from snipebay_control.state import ControlState
+
+__all__ = ["ControlConfig", "ControlCore"]
+
+RAFT_MESSAGES = (
+    messages.AppendReply,
+    messages.AppendRequest,
+    messages.SnapshotRequest,
+    messages.TimeoutNow,
+    messages.VoteReply,
+    messages.VoteRequest,
+)
+_command_type = tuple[str, bytes]
+
+
+@attrs.frozen
+class ControlConfig:
+    """Settings of a control instance.
+
+    Attributes:
+        node: Our name, ``id#incarnation``.
+        peers: Ids of all control instances, ours included.
+        raft: Times of the replicated log.
+        leases: Times of the leases.
+        compact_entries: Applied log entries after which a snapshot is taken.
+        hello_s: Between two greetings of an instance without members.
+        idle_reap_s: Between two clock commands while no key is remembered.
+    """
+
+    node: str
+    peers: tuple
+    raft: RaftTiming = RaftTiming()
+    leases: LeaseTiming = LeaseTiming()
+    compact_entries: int = 2_000
+    hello_s: float = 0.2
+    idle_reap_s: float = 60.0
+
+
+class ControlCore:
+    """Pure control instance: messages and time in, work and messages out.
+
+    The adapter calls :meth:`receive` and :meth:`tick`, then repeats
+    :meth:`take_ready`, syncs what it holds, and :meth:`finish` until there is
+    no more work, then sends :meth:`take_messages`.
+
+    Args:
+        cfg: Settings.
+        stored: What the disk held.
+        rng: ``numpy.random.Generator`` for election timeouts.
+        now_s: Time of the start.
+    """
+
+    def __init__(self, cfg, stored, rng, now_s):
+        self.cfg = cfg
+        self.raft = Raft(cfg.node, stored, rng, now_s, cfg.raft)
+        self.state = ControlState.from_dump(stored.snapshot.data)
+        self.sessions = Sessions(cfg.leases)
+        self._now_s = now_s
+        self._led_since_s = 0.0
+        self._led_base_ms = 0
+        self._led_term = 0
+        self._outbox = []
+        self._waiting = {}
+        self._pending = set()
+        self._joining = {}
+        self._hellos = {}
+        self._pushed = {}
+        self._checked_settings = 0
+        self._next_hello_s = now_s
+        self._next_reap_s = 0.0
+        self._applied = self.raft.commit
+
+    # --- inputs -----------------------------------------------------------
+
+    def receive(self, sender, body, now_s):
+        """Take in a message.
+
+        Args:
+            sender: Node name of a control instance or id of an entry instance.
+            body: The message.
+            now_s: Time.
+        """
+        self._now_s = now_s
+        if isinstance(body, RAFT_MESSAGES):
+            if instance_of(sender) in self.cfg.peers:
+                self.raft.step(sender, body)
+        elif isinstance(body, Hello):
+            self._on_hello(sender, body)
+        elif isinstance(body, Renew):
+            self._on_renew(sender, body)
+        elif isinstance(body, CommandRequest):
+            self._on_command(sender, body)
+        elif isinstance(body, StatusRequest):
+            self.raft.request_read((sender, body))
+
+    def tick(self, now_s):
+        """Run all systems over the tables at a time."""
+        self._now_s = now_s
+        self.raft.tick(now_s)
+        if not self.raft.members:
+            self._greet()
+        if not self.raft.leads_current_term:
+            return
+        if self._led_term != self.raft.term:
+            self._begin_leadership()
+        self._read_leases()
+        self._expire()
+        self._move_clock()
+        self._change_members()
+        self._push()
+
+    def take_ready(self):
+        """Return work to sync, see :class:`snipebay_control.raft.Ready`."""
+        return self.raft.take_ready()
+
+    def finish(self, ready):
+        """Apply work that is now synced, and answer whoever waits for it."""
+        self.raft.synced(ready)
+        self._outbox += ready.messages
+        if ready.snapshot is not None and ready.snapshot.index:
+            self.state = ControlState.from_dump(ready.snapshot.data)
+            self._applied = ready.snapshot.index
+        for entry in ready.committed:
+            self._apply(entry)
+        for request in ready.reads:
+            self._answer_status(*request)
+        for sender, request in ready.reads_lost:
+            outcome = Outcome("not-leader", detail="not the leader, or no quorum")
+            reply = StatusReply(request.request_id, outcome, self.leader_id)
+            self._outbox.append((sender, reply))
+        if len(self.raft.log.entries) > 2 * self.cfg.compact_entries:
+            self.raft.compact(self._applied, self.state.dump())
+
+    def take_messages(self):
+        """Return pairs of receiver and message to send."""
+        outbox, self._outbox = self._outbox, []
+        return outbox
+
+    def stop(self):
+        """Hand leadership over before a planned stop."""
+        self.raft.transfer()
+
+    @property
+    def leader_id(self):
+        """Instance id of the leader as far as known, or an empty string."""
+        return instance_of(self.raft.leader)
+
+    @property
+    def _serves(self):
+        """True while this leader has taken over and can't have been replaced."""
+        return self._led_term == self.raft.term and self.raft.holds_lease(self._now_s)
+
+    # --- joining ----------------------------------------------------------
+
+    def _greet(self):
+        if self._now_s < self._next_hello_s:
+            return
+        self._next_hello_s = self._now_s + self.cfg.hello_s
+        own_id = instance_of(self.cfg.node)
+        self._outbox += [
+            (peer, Hello(True)) for peer in self.cfg.peers if peer != own_id
+        ]
+        if len(self.cfg.peers) == 1:
+            self.raft.bootstrap({self.cfg.node: True})
+
+    def _on_hello(self, sender, msg):
+        if instance_of(sender) not in self.cfg.peers:
+            return
+        if msg.fresh:
+            members = tuple(sorted(self.raft.members.items()))
+            reply = Hello(not members, members)
+            if self.raft.members:
+                self._outbox.append((sender, reply))
+            self._joining[instance_of(sender)] = sender
+        if self.raft.members:
+            return
+        self._hellos[instance_of(sender)] = (sender, msg.fresh)
+        if dict(msg.members).get(self.cfg.node):
+            # Our disk is the one that the first member list was made with.
+            self.raft.bootstrap(dict(msg.members))
+            return
+        others = [
+            self._hellos.get(p)
+            for p in self.cfg.peers
+            if p != instance_of(self.cfg.node)
+        ]
+        if all(hello is not None and hello[1] for hello in others):
+            nodes = [self.cfg.node, *(hello[0] for hello in others)]
+            self.raft.bootstrap(dict.fromkeys(nodes, True))
+
+    # --- leadership -------------------------------------------------------
+
+    def _begin_leadership(self):
+        self._led_term = self.raft.term
+        self._led_since_s = self._now_s
+        self._led_base_ms = self.state.now_ms
+        self._waiting.clear()
+        self._pending.clear()
+        self._joining.clear()
+        self._pushed.clear()
+        self._next_reap_s = 0.0
+        self.sessions.start(self.state, self._now_s)
+
+    def _read_leases(self):
+        """Take the leases of backend servers from the settings in force."""
+        if self._checked_settings == self.state.settings_revision:
+            return
+        self._checked_settings = self.state.settings_revision
+        result = parse_settings(self.state.settings)
+        if isinstance(result, Success):
+            settings = result.unwrap()
+            self.sessions.backend_lease_s = {
+                name: settings.rules(name).backend_lease_s for name in settings.services
+            }
+
+    def _expire(self):
+        """Remove instances and backend servers whose leases are over."""
+        for row in self.sessions.lapsed_entries(self.state, self._now_s):
+            self._propose_once(
+                RemoveEntry(row.entry_id, row.incarnation, "lease ran out")
+            )
+        for row in self.sessions.lapsed_backends(self.state, self._now_s):
+            self._propose_once(RemoveBackend(row.backend_id, "lease ran out"))
+
+    def _move_clock(self):
+        if self._now_s < self._next_reap_s:
+            return
+        busy = bool(self.state.claims.rows)
+        wait_s = self.cfg.leases.reap_s if busy else self.cfg.idle_reap_s
+        self._next_reap_s = self._now_s + wait_s
+        elapsed_ms = int((self._now_s - self._led_since_s) * 1_000)
+        self._propose(Reap(self._led_base_ms + elapsed_ms))
+
+    def _change_members(self):
+        members = next_members(
+            self.raft.members,
+            self._joining.values(),
+            self.raft.match_index,
+            self.raft.log.last_index,
+            lambda node: self.raft.heard_within(node, self.cfg.raft.election_max_s),
+        )
+        if members is not None:
+            self.raft.propose_members(members)
+
+    def _push(self):
+        """Send entry instances what changed, without waiting to be asked."""
+        for entry_id, report in self.sessions.reports.items():
+            base = max(report.applied, self._pushed.get(entry_id, 0))
+            if base < self.state.revision and entry_id in self.state.entries:
+                self._pushed[entry_id] = self.state.revision
+                self._outbox.append((entry_id, self._reply(base, granted=False)))
+
+    # --- requests ---------------------------------------------------------
+
+    def _on_renew(self, sender, msg):
+        if not self._serves:
+            reply = RenewReply(self.leader_id, granted=False)
+            self._outbox.append((sender, reply))
+            return
+        row = self.state.entries.get(msg.row.entry_id)
+        known = row is not None and row.incarnation == msg.row.incarnation
+        if known:
+            self.sessions.renew(msg, self.state, self._now_s)
+            self._pushed[msg.row.entry_id] = self.state.revision
+        moved = row is not None and row.address != msg.row.address
+        if row is None or not moved:
+            # Another address under a live lease is a second instance with the id.
+            self._put_entry(row, msg.row)
+        reply = self._reply(msg.applied, granted=known, sent_ms=msg.sent_ms)
+        self._outbox.append((sender, reply))
+
+    def _put_entry(self, old, row):
+        since = old.since_revision if old else 0
+        if old != attrs.evolve(row, since_revision=since):
+            self._propose_once(messages.PutEntry(row))
+
+    def _reply(self, base, *, granted, sent_ms=0):
+        return RenewReply(
+            leader=self.leader_id,
+            granted=granted,
+            sent_ms=sent_ms,
+            lease_ms=int(self.cfg.leases.entry_lease_s * 1_000),
+            settled_floor=self.sessions.floor(self.state, "settled"),
+            quorum_revision=self.state.revision,
+            delta=self.state.delta(base),
+            drained=self.sessions.drained(self.state),
+        )
+
+    def _on_command(self, sender, msg):
+        outcome = self._refusal(msg)
+        if outcome is None:
+            index = self._propose_encoded(msg.kind, msg.data)
+            self._waiting[index] = (self.raft.term, sender, msg.request_id)
+            return
+        reply = CommandReply(msg.request_id, outcome, self.leader_id)
+        self._outbox.append((sender, reply))
+
+    def _refusal(self, msg):
+        """Return why a command can't be proposed, or None when it can."""
+        if not self._serves:
+            return Outcome("not-leader", detail="not the leader, or no quorum")
+        try:
+            cmd = decode_body(msg.kind, msg.data)
+        except CodecError as exc:
+            return Outcome("invalid", detail=str(exc))
+        if not self.state.accepts(cmd):
+            return Outcome("invalid", detail=f"{msg.kind!r} is not a command")
+        if isinstance(cmd, messages.ApplySettings):
+            result = parse_settings(cmd.text)
+            if not isinstance(result, Success):
+                return Outcome("invalid", detail=str(result.failure()))
+        return None
+
+    def _propose(self, cmd):
+        return self._propose_encoded(*encode_body(cmd))
+
+    def _propose_encoded(self, kind, data):
+        return self.raft.propose(msgspec.msgpack.encode((kind, data)))
+
+    def _propose_once(self, cmd):
+        """Propose a command unless the same one is on its way."""
+        kind, data = encode_body(cmd)
+        if (kind, data) not in self._pending:
+            self._pending.add((kind, data))
+            self._propose_encoded(kind, data)
+
+    # --- applying ---------------------------------------------------------
+
+    def _apply(self, entry):
+        self._applied = entry.index
+        outcome = Outcome("ok", self.state.revision)
+        if entry.kind == "command":
+            kind, data = msgspec.msgpack.decode(entry.data, type=_command_type)
+            outcome = self.state.apply(kind, data)
+            self._pending.discard((kind, data))
+            if kind == "PutBackend" and self.raft.is_leader:
+                self._grant_backend(decode_body(kind, data).row)
+        term, sender, request_id = self._waiting.pop(entry.index, (0, "", 0))
+        if sender and term == entry.term:
+            reply = CommandReply(request_id, outcome, self.leader_id)
+            self._outbox.append((sender, reply))
+
+    def _grant_backend(self, row):
+        self.sessions.touch_backend(row.backend_id, row.service, self._now_s)
+
+    def _answer_status(self, sender, request):
+        answer = {
+            "status": self.status,
+            "settings": lambda: self._changes()[-1:],
+            "history": self._changes,
+        }.get(request.what)
+        if answer is None:
+            outcome, data = Outcome("invalid", detail=f"no {request.what!r}"), b""
+        else:
+            outcome = Outcome("ok", self.state.revision)
+            data = msgspec.json.encode(answer())
+        reply = StatusReply(request.request_id, outcome, self.leader_id, data)
+        self._outbox.append((sender, reply))
+
+    def _changes(self):
+        return [ChangeStatus(**attrs.asdict(change)) for change in self.state.changes]
+
+    def status(self):
+        """Return the state of the system as this leader knows it."""
+        reports = self.sessions.reports
+        return ClusterStatus(
+            leader=self.leader_id,
+            term=self.raft.term,
+            commit=self.raft.commit,
+            revision=self.state.revision,
+            settings_revision=self.state.settings_revision,
+            in_force=self.sessions.floor(self.state, "applied"),
+            settled=self.sessions.floor(self.state, "settled"),
+            claims=len(self.state.claims.rows),
+            members=tuple(
+                MemberStatus(
+                    node,
+                    voter,
+                    self.raft.match_index(node),
+                    self.raft.heard_within(node, self.cfg.raft.election_min_s),
+                )
+                for node, voter in sorted(self.raft.members.items())
+            ),
+            entries=tuple(
+                EntryStatus(
+                    row,
+                    reports[entry_id].applied if entry_id in reports else 0,
+                    reports[entry_id].settled if entry_id in reports else 0,
+                    reports[entry_id].load_reports if entry_id in reports else {},
+                )
+                for entry_id, row in sorted(self.state.entries.items())
+            ),
+            backends=tuple(row for _, row in sorted(self.state.backends.items())),
+            drained=self.sessions.drained(self.state),
+        )
--- /dev/null
+++ b/packages/snipebay-control/src/snipebay_control/membership.py
@@ -0,0 +1,44 @@
+"""Decides which control instances vote, one change at a time."""
+
+__all__ = ["CATCH_UP_ENTRIES", "instance_of", "next_members"]
+
+CATCH_UP_ENTRIES = 64
+
+
+def instance_of(node):
+    """Return the instance id in a node name ``id#incarnation``."""
+    return node.partition("#")[0]
+
+
+def next_members(members, joining, match_index, last_index, is_heard):
+    """Return the member table after the next single change, or None.
+
+    An instance that lost its disk joins under a new incarnation: it first
+    learns, then votes, and only then its old incarnation is removed, so that
+    no step leaves fewer voters with the data than before.
+
+    Args:
+        members: Node to whether it votes.
+        joining: Nodes that said hello with an empty disk.
+        match_index: Function from node to the last index stored there.
+        last_index: Last index of the leader's log.
+        is_heard: Function from node to whether it answered lately.
+    """
+    for node in sorted(joining):
+        if node not in members:
+            return {**members, node: False}
+    for node, voter in sorted(members.items()):
+        caught_up = match_index(node) + CATCH_UP_ENTRIES >= last_index
+        if not voter and caught_up and match_index(node) > 0:
+            return {**members, node: True}
+    for node, voter in sorted(members.items()):
+        replaced = [
+            other
+            for other in members
+            if other != node
+            and instance_of(other) == instance_of(node)
+            and not is_heard(other)
+        ]
+        if voter and is_heard(node) and replaced:
+            return {n: v for n, v in members.items() if n != replaced[0]}
+    return None
--- /dev/null
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -0,0 +1,121 @@
+"""Leases that a leader keeps in memory, and what their holders reported."""
+
+import attrs
+from snipebay_model.messages import Renew
+
+__all__ = ["LeaseTiming", "Sessions"]
+
+
+@attrs.frozen
+class LeaseTiming:
+    """Leases of the system's own instances, in seconds.
+
+    Attributes:
+        entry_lease_s: Lease of an entry instance, from when it asked.
+        settle_s: Further time in which work that it started may end.
+        reap_s: Between two commands that move the cluster's clock.
+    """
+
+    entry_lease_s: float = 3.0
+    settle_s: float = 2.0
+    reap_s: float = 1.0
+
+
+@attrs.define
+class Sessions:
+    """What the current leader knows of entry instances and backend servers.
+
+    A new leader starts with full leases for everyone, since it can't know what
+    the leader before it had granted.
+    """
+
+    timing: LeaseTiming
+    backend_lease_s: dict = attrs.Factory(dict)
+    entry_until_s: dict = attrs.Factory(dict)
+    backend_until_s: dict = attrs.Factory(dict)
+    reports: dict = attrs.Factory(dict)
+
+    def start(self, state, now_s):
+        """Begin a leadership."""
+        self.reports.clear()
+        self.entry_until_s = {
+            entry_id: self._entry_end(now_s) for entry_id in state.entries
+        }
+        self.backend_until_s = {
+            backend_id: self._backend_end(row.service, now_s)
+            for backend_id, row in state.backends.items()
+        }
+
+    def renew(self, msg: Renew, state, now_s):
+        """Take note of an entry instance's report."""
+        entry_id = msg.row.entry_id
+        self.entry_until_s[entry_id] = self._entry_end(now_s)
+        self.reports[entry_id] = msg
+        for backend_id in msg.backends_seen:
+            if backend_id in state.backends:
+                self.touch_backend(
+                    backend_id, state.backends[backend_id].service, now_s
+                )
+
+    def touch_backend(self, backend_id, service, now_s):
+        """Extend a backend server's lease."""
+        self.backend_until_s[backend_id] = self._backend_end(service, now_s)
+
+    def lapsed_entries(self, state, now_s):
+        """Return rows of entry instances whose lease and settling time are over."""
+        return [
+            row
+            for entry_id, row in sorted(state.entries.items())
+            if self.entry_until_s.setdefault(entry_id, self._entry_end(now_s)) <= now_s
+        ]
+
+    def lapsed_backends(self, state, now_s):
+        """Return rows of backend servers whose lease is over."""
+        return [
+            row
+            for backend_id, row in sorted(state.backends.items())
+            if self.backend_until_s.setdefault(
+                backend_id, self._backend_end(row.service, now_s)
+            )
+            <= now_s
+        ]
+
+    def floor(self, state, attribute):
+        """Return the revision that every live entry instance has reached.
+
+        Args:
+            state: Replicated state.
+            attribute: ``applied`` or ``settled`` of :class:`Renew`.
+        """
+        reports = [self._report(row) for row in state.entries.values()]
+        if not reports:
+            return state.revision
+        return min(getattr(msg, attribute) if msg else 0 for msg in reports)
+
+    def drained(self, state):
+        """Return backend servers that leave and have no work left anywhere."""
+        reports = [self._report(row) for row in state.entries.values()]
+        return tuple(
+            backend_id
+            for backend_id, row in sorted(state.backends.items())
+            if not row.is_open
+            and all(
+                msg is not None
+                and msg.applied >= row.since_revision
+                and backend_id not in msg.busy_leaving
+                for msg in reports
+            )
+        )
+
+    def _report(self, row):
+        """Return the report of the incarnation in the table, or None."""
+        msg = self.reports.get(row.entry_id)
+        if msg is None or msg.row.incarnation != row.incarnation:
+            return None
+        return msg
+
+    def _entry_end(self, now_s):
+        return now_s + self.timing.entry_lease_s + self.timing.settle_s
+
+    def _backend_end(self, service, now_s):
+        return now_s + self.backend_lease_s.get(service, self.timing.entry_lease_s)
--- /dev/null
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -0,0 +1,269 @@
+"""Replicated state: settings, backend servers, entry instances and claims."""
+
+import collections
+import itertools
+
+import attrs
+import msgspec
+from snipebay_model import messages
+from snipebay_model.codec import decode_body
+from snipebay_model.messages import Outcome
+from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
+
+from snipebay_control.claims import ClaimRow, ClaimTable
+
+__all__ = ["Change", "ControlState"]
+
+JOURNAL_ROWS = 2_048
+CHANGES_KEPT = 200
+CHANGE_IDS_KEPT = 10_000
+ABORT_RETENTION_MS = 3_600_000
+
+
+@attrs.frozen
+class Change:
+    """One accepted change of the settings.
+
+    Attributes:
+        revision: Settings revision that it made.
+        change_id: Id given by the operator's client.
+        author: Who made it.
+        note: Why, in the author's words.
+        at_ms: Cluster time.
+        text: Settings after the change.
+    """
+
+    revision: int
+    change_id: str
+    author: str
+    note: str
+    at_ms: int
+    text: str
+
+
+@attrs.define
+class _Image:
+    """Whole state as stored in a snapshot."""
+
+    revision: int
+    settings_revision: int
+    settings: str
+    now_ms: int
+    backends: list[BackendRow]
+    entries: list[EntryRow]
+    changes: list[Change]
+    change_outcomes: list[tuple[str, Outcome]]
+    claims: list[ClaimRow]
+
+
+class ControlState:
+    """State that every control instance reaches by applying the same log."""
+
+    def __init__(self):
+        self.revision = 0
+        self.settings_revision = 0
+        self.settings = ""
+        self.now_ms = 0
+        self.backends = {}
+        self.entries = {}
+        self.changes = collections.deque(maxlen=CHANGES_KEPT)
+        self.claims = ClaimTable()
+        self._change_outcomes = collections.OrderedDict()
+        self._journal = collections.deque(maxlen=JOURNAL_ROWS)
+        self._handlers = {
+            messages.ApplySettings: self._apply_settings,
+            messages.PutBackend: self._put_backend,
+            messages.HoldBackend: self._hold_backend,
+            messages.RemoveBackend: self._remove_backend,
+            messages.PutEntry: self._put_entry,
+            messages.RemoveEntry: self._remove_entry,
+            messages.Claim: lambda cmd: self.claims.claim(cmd, self.now_ms),
+            messages.Finish: self.claims.finish,
+            messages.Abort: self._abort,
+            messages.Reap: self._reap,
+        }
+
+    # --- log --------------------------------------------------------------
+
+    def apply(self, kind, data):
+        """Apply one command of the log and return its outcome."""
+        cmd = decode_body(kind, data)
+        return self._handlers[type(cmd)](cmd)
+
+    def accepts(self, cmd):
+        """Return True for messages that are commands."""
+        return type(cmd) in self._handlers
+
+    def dump(self):
+        """Return the whole state as bytes."""
+        image = _Image(
+            self.revision,
+            self.settings_revision,
+            self.settings,
+            self.now_ms,
+            list(self.backends.values()),
+            list(self.entries.values()),
+            list(self.changes),
+            list(self._change_outcomes.items()),
+            list(self.claims.rows.values()),
+        )
+        return msgspec.msgpack.encode(image)
+
+    @classmethod
+    def from_dump(cls, data):
+        """Return the state stored by :meth:`dump`, or an empty one for no bytes."""
+        state = cls()
+        if not data:
+            return state
+        image = msgspec.msgpack.decode(data, type=_Image)
+        state.revision = image.revision
+        state.settings_revision = image.settings_revision
+        state.settings = image.settings
+        state.now_ms = image.now_ms
+        state.backends = {row.backend_id: row for row in image.backends}
+        state.entries = {row.entry_id: row for row in image.entries}
+        state.changes.extend(image.changes)
+        state._change_outcomes.update(image.change_outcomes)
+        state.claims.rows = {(row.service, row.key): row for row in image.claims}
+        return state
+
+    # --- views ------------------------------------------------------------
+
+    def view(self):
+        """Return the view at the current revision."""
+        return View().apply(self._whole())
+
+    def delta(self, base):
+        """Return what changed since a revision, or None when nothing did."""
+        if base >= self.revision:
+            return None
+        first = self._journal[0][0] if self._journal else self.revision + 1
+        if base < first - 1:
+            return self._whole()
+        rows = {
+            (table, row_id)
+            for revision, table, row_id in self._journal
+            if revision > base
+        }
+        backends = sorted(row_id for table, row_id in rows if table == "backends")
+        entries = sorted(row_id for table, row_id in rows if table == "entries")
+        changed = ("settings", "") in rows
+        return ViewDelta(
+            base=base,
+            revision=self.revision,
+            settings=self.settings if changed else None,
+            settings_revision=self.settings_revision if changed else 0,
+            backends=tuple(self.backends[i] for i in backends if i in self.backends),
+            backends_gone=tuple(i for i in backends if i not in self.backends),
+            entries=tuple(self.entries[i] for i in entries if i in self.entries),
+            entries_gone=tuple(i for i in entries if i not in self.entries),
+        )
+
+    def _whole(self):
+        return ViewDelta(
+            base=0,
+            revision=self.revision,
+            whole=True,
+            settings=self.settings,
+            settings_revision=self.settings_revision,
+            backends=tuple(self.backends.values()),
+            entries=tuple(self.entries.values()),
+        )
+
+    def _touch(self, table, row_id=""):
+        """Count a change that entry instances must hear of."""
+        self.revision += 1
+        self._journal.append((self.revision, table, row_id))
+        return self.revision
+
+    # --- commands ---------------------------------------------------------
+
+    def _apply_settings(self, cmd):
+        if cmd.change_id in self._change_outcomes:
+            return self._change_outcomes[cmd.change_id]
+        if cmd.base_revision != self.settings_revision:
+            newest = self.changes[-1]
+            detail = (
+                f"base revision {cmd.base_revision!r} is not the current "
+                f"{self.settings_revision!r}, made by {newest.author!r} "
+                f"with change {newest.change_id!r}"
+                if self.changes
+                else f"base revision {cmd.base_revision!r}, nothing is set yet"
+            )
+            outcome = Outcome("conflict", self.settings_revision, detail)
+        else:
+            self.settings = cmd.text
+            self.settings_revision = self._touch("settings")
+            self.changes.append(
+                Change(
+                    self.settings_revision,
+                    cmd.change_id,
+                    cmd.author,
+                    cmd.note,
+                    self.now_ms,
+                    cmd.text,
+                )
+            )
+            outcome = Outcome("ok", self.settings_revision)
+        return self._remember(cmd.change_id, outcome)
+
+    def _remember(self, change_id, outcome):
+        """Keep the first answer to a change, for resends."""
+        self._change_outcomes[change_id] = outcome
+        excess = len(self._change_outcomes) - CHANGE_IDS_KEPT
+        for old in list(itertools.islice(self._change_outcomes, max(excess, 0))):
+            del self._change_outcomes[old]
+        return outcome
+
+    def _put_backend(self, cmd):
+        old = self.backends.get(cmd.row.backend_id)
+        row = attrs.evolve(
+            cmd.row,
+            held=old.held if old else False,
+            since_revision=old.since_revision if old else 0,
+        )
+        if row == old:
+            return Outcome("ok", self.revision)
+        return self._store_backend(row)
+
+    def _hold_backend(self, cmd):
+        if cmd.change_id in self._change_outcomes:
+            return self._change_outcomes[cmd.change_id]
+        old = self.backends.get(cmd.backend_id)
+        if old is None:
+            return Outcome("missing", detail=f"no backend server {cmd.backend_id!r}")
+        outcome = self._store_backend(attrs.evolve(old, held=cmd.held))
+        return self._remember(cmd.change_id, outcome)
+
+    def _store_backend(self, row):
+        revision = self._touch("backends", row.backend_id)
+        self.backends[row.backend_id] = attrs.evolve(row, since_revision=revision)
+        return Outcome("ok", revision)
+
+    def _remove_backend(self, cmd):
+        if self.backends.pop(cmd.backend_id, None) is None:
+            return Outcome("missing", self.revision)
+        return Outcome("ok", self._touch("backends", cmd.backend_id))
+
+    def _put_entry(self, cmd):
+        old = self.entries.get(cmd.row.entry_id)
+        since = old.since_revision if old else 0
+        if old == attrs.evolve(cmd.row, since_revision=since):
+            return Outcome("ok", self.revision)
+        revision = self._touch("entries", cmd.row.entry_id)
+        self.entries[cmd.row.entry_id] = attrs.evolve(cmd.row, since_revision=revision)
+        return Outcome("ok", revision)
+
+    def _remove_entry(self, cmd):
+        old = self.entries.get(cmd.entry_id)
+        if old is None or old.incarnation != cmd.incarnation:
+            return Outcome("missing", self.revision)
+        del self.entries[cmd.entry_id]
+        return Outcome("ok", self._touch("entries", cmd.entry_id))
+
+    def _abort(self, cmd):
+        return self.claims.abort(cmd, self.now_ms, ABORT_RETENTION_MS)
+
+    def _reap(self, cmd):
+        self.now_ms = max(self.now_ms, cmd.now_ms)
+        return Outcome("ok", detail=str(self.claims.reap(self.now_ms)))
--- /dev/null
+++ b/packages/snipebay-control/tests/test_control_core.py
@@ -0,0 +1,255 @@
+"""Tests of the control group under faults, on seeded fakes."""
+
+import unittest
+
+import attrs
+from snipebay_control.core import ControlConfig
+from snipebay_model.messages import ApplySettings, PutBackend
+from snipebay_model.view import BackendRow
+from snipebay_testbed.control_rig import ControlRig
+
+SEEDS = range(25)
+TREE = "regions: {{a: {{domains: [x]}}}}\nservices: {{v: {{rules: {{retries: {}}}}}}}\n"
+
+
+def change(number, base, change_id=None):
+    return ApplySettings(
+        change_id or f"change-{number}", base, "operator", TREE.format(number % 5)
+    )
+
+
+def apply_changes(rig, count, base=0):
+    """Apply changes one after the other and return the last revision."""
+    for number in range(count):
+        outcome = rig.call(change(number, base, f"{base}-{number}"))
+        assert outcome.code == "ok", outcome
+        base = outcome.revision
+    return base
+
+
+class ControlCase(unittest.TestCase):
+    """Checks shared by the tests below."""
+
+    def assert_settled(self, rig, revision):
+        rig.scheduler.run_for(8.0)
+        states = {
+            host.id: host.core.state.settings_revision for host in rig.hosts.values()
+        }
+        self.assertEqual(set(states.values()), {revision}, f"at {states}")
+
+
+class TestElection(ControlCase):
+    def test_starts_with_all_members_voting(self):
+        rig = ControlRig(1, 5)
+        members = rig.elect().core.raft.members
+        self.assertEqual(len(members), 5)
+        self.assertTrue(all(members.values()))
+
+    def test_waits_for_all_members_at_the_first_start(self):
+        rig = ControlRig(2, absent=("c3",))
+        rig.scheduler.run_for(10)
+        self.assertIsNone(rig.leader)
+        rig.hosts["c3"].start()
+        rig.elect()
+
+    def test_never_two_leaders_that_may_serve(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                rig = ControlRig(seed, 5, loss=0.05, duplicate=0.05)
+                leader = rig.elect()
+                rig.network.cut_off(leader.id, rig.hosts)
+                for _ in range(200):
+                    rig.scheduler.run_for(0.02)
+                    serving = [
+                        host.id
+                        for host in rig.hosts.values()
+                        if host.core.raft.holds_lease(rig.scheduler.now_s)
+                    ]
+                    self.assertLessEqual(len(serving), 1)
+                self.assertNotEqual(rig.leader.id, leader.id)
+
+    def test_even_split_of_votes_ends(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                rig = ControlRig(seed, 4)
+                rig.elect().kill()
+                rig.elect(10)
+
+    def test_cut_off_member_does_not_depose_the_leader(self):
+        rig = ControlRig(3)
+        leader = rig.elect()
+        other = next(i for i in rig.hosts if i != leader.id)
+        rig.network.cut_off(other, rig.hosts, outward=False)
+        rig.scheduler.run_for(30)
+        rig.network.heal()
+        term = leader.core.raft.term
+        rig.scheduler.run_for(10)
+        self.assertIs(rig.leader, leader)
+        self.assertEqual(leader.core.raft.term, term)
+
+    def test_planned_stop_hands_over_at_once(self):
+        rig = ControlRig(4)
+        leader = rig.elect()
+        leader.core.stop()
+        leader._drain()
+        took_s = rig.scheduler.wait_for(
+            lambda: rig.leader is not None and rig.leader is not leader, 5
+        )
+        self.assertLess(took_s, 0.5)
+
+
+class TestAcceptedChanges(ControlCase):
+    def test_survive_kills_freezes_and_lost_disks(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                rig = ControlRig(seed, loss=0.05, duplicate=0.05)
+                rig.elect()
+                base = 0
+                for step in range(8):
+                    base = apply_changes(rig, 2, base)
+                    host = rig.hosts[f"c{rig.rng.integers(3) + 1}"]
+                    self.put_through(rig, host, rig.rng.integers(4), step, base)
+                self.assert_settled(rig, base)
+
+    def put_through(self, rig, host, fault, step, base):
+        if fault == 0:
+            host.kill()
+            rig.scheduler.run_for(1)
+        elif fault == 1:
+            host.lose_disk()
+            rig.scheduler.run_for(0.3)
+        elif fault == 2:
+            host.freeze()
+            rig.scheduler.run_for(3)
+            host.thaw()
+        else:
+            host.crash_at_sync = ("before-sync", "after-sync")[step % 2]
+            rig.call(change(step, -1, f"refused-{step}"))
+        if not host.runs:
+            host.start()
+        rig.scheduler.run_for(6)
+
+    def test_survive_a_second_loss_right_after_a_repair(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                rig = ControlRig(seed)
+                rig.elect()
+                base = apply_changes(rig, 5)
+                for instance_id in ("c1", "c2", "c3"):
+                    host = rig.hosts[instance_id]
+                    host.lose_disk()
+                    host.start()
+                    self.wait_for_vote(rig, host)
+                self.assert_settled(rig, base)
+
+    def wait_for_vote(self, rig, host):
+        def repaired():
+            members = rig.leader.core.raft.members if rig.leader else {}
+            return members.get(host.node) and len(members) == 3
+
+        self.assertIsNotNone(rig.scheduler.wait_for(repaired, 30), "not repaired")
+
+    def test_lost_disk_does_not_vote(self):
+        rig = ControlRig(5)
+        rig.elect()
+        base = apply_changes(rig, 3)
+        holder, empty = rig.hosts["c1"], rig.hosts["c2"]
+        rig.hosts["c3"].kill()
+        empty.lose_disk()
+        empty.start()
+        rig.scheduler.run_for(30)
+        self.assertIsNone(rig.leader)
+        rig.hosts["c3"].start()
+        rig.elect()
+        self.assert_settled(rig, base)
+        self.assertEqual(holder.core.state.settings_revision, base)
+
+    def test_reach_a_member_that_slept_through_500_changes(self):
+        cfg = ControlConfig("", (), compact_entries=50)
+        rig = ControlRig(6, cfg=cfg)
+        rig.elect()
+        base = apply_changes(rig, 3)
+        sleeper = next(h for h in rig.hosts.values() if h is not rig.leader)
+        sleeper.kill()
+        base = apply_changes(rig, 500, base)
+        sleeper.start()
+        self.assert_settled(rig, base)
+        self.assertGreater(sleeper.disk.log.snapshot.index, 0)
+
+    def test_restart_of_all_after_500_changes(self):
+        rig = ControlRig(7, cfg=ControlConfig("", (), compact_entries=50))
+        rig.elect()
+        base = apply_changes(rig, 500)
+        for host in rig.hosts.values():
+            host.kill()
+        for host in rig.hosts.values():
+            host.start()
+        rig.elect()
+        self.assert_settled(rig, base)
+
+    def test_are_refused_by_a_leader_cut_off_in_silence(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                rig = ControlRig(seed)
+                leader = rig.elect()
+                base = apply_changes(rig, 2)
+                rig.network.cut_off(leader.id, rig.hosts)
+                late = rig.send(change(3, base, "lost"), leader.id)
+                rig.scheduler.run_for(5)
+                self.assertNotIn(late, rig.outcomes)
+                refused = rig.send(change(4, base, "refused"), leader.id)
+                rig.scheduler.run_for(1)
+                self.assertEqual(rig.outcomes[refused].code, "not-leader")
+                base = apply_changes(rig, 2, base)
+                rig.network.heal()
+                self.assert_settled(rig, base)
+
+
+class TestOperators(ControlCase):
+    def test_one_of_two_racing_gets_a_conflict_naming_the_other(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                rig = ControlRig(seed, 4, loss=0.02)
+                rig.elect()
+                base = apply_changes(rig, 1)
+                ids = [rig.send(change(n, base, f"race-{n}")) for n in (1, 2)]
+                rig.scheduler.run_for(5)
+                found = [rig.outcomes[i] for i in ids if i in rig.outcomes]
+                self.assertLessEqual([o.code for o in found].count("ok"), 1)
+                for outcome in found:
+                    if outcome.code == "conflict":
+                        self.assertRegex(outcome.detail, "race-[12]")
+
+    def test_resend_after_a_lost_answer_gives_the_first_answer(self):
+        rig = ControlRig(8)
+        rig.elect()
+        first = rig.call(change(1, 0, "same"))
+        rig.leader.kill()
+        again = rig.call(change(1, 0, "same"))
+        self.assertEqual(first, again)
+        self.assertEqual(rig.leader.core.state.settings_revision, first.revision)
+
+    def test_bad_settings_change_nothing(self):
+        rig = ControlRig(9)
+        rig.elect()
+        base = apply_changes(rig, 1)
+        bad = attrs.evolve(change(2, base), text="services: [")
+        outcome = rig.call(bad)
+        self.assertEqual(outcome.code, "invalid")
+        self.assertIn("settings.yaml:1:", outcome.detail)
+        self.assertEqual(rig.leader.core.state.settings_revision, base)
+
+
+class TestBackendLeases(ControlCase):
+    def test_silent_backend_server_is_removed(self):
+        rig = ControlRig(10)
+        rig.elect()
+        row = BackendRow("b1", "v", "127.0.0.1:1", "a", "x", 5)
+        rig.call(PutBackend(row))
+        self.assertIn("b1", rig.leader.core.state.backends)
+        rig.scheduler.run_for(5)
+        self.assertNotIn("b1", rig.leader.core.state.backends)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/snipebay-model/src/snipebay_model/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, settings and units shared by all snipebay packages."""
--- /dev/null
+++ b/packages/snipebay-model/src/snipebay_model/findings.py
@@ -0,0 +1,56 @@
+"""Findings of a check, each with its place, collected and reported together."""
+
+import difflib
+
+import attrs
+
+__all__ = ["Finding", "Findings"]
+
+
+@attrs.frozen
+class Finding:
+    """One fault in a settings file.
+
+    Attributes:
+        source: File name.
+        line: Line from 1.
+        column: Column from 1.
+        path: Place in the tree, such as ``services.emisor.rules.retries``.
+        message: The rule broken and the value that broke it.
+    """
+
+    source: str
+    line: int
+    column: int
+    path: str
+    message: str
+
+    def __str__(self):
+        place = f"{self.source}:{self.line}:{self.column}"
+        return f"{place}: {self.path or '(top)'}: {self.message}"
+
+
+@attrs.define
+class Findings:
+    """Collects findings in the order in which they were met."""
+
+    source: str
+    rows: list = attrs.Factory(list)
+
+    def __bool__(self):
+        return bool(self.rows)
+
+    def __str__(self):
+        return "\n".join(str(row) for row in self.rows)
+
+    def add(self, node, path, message):
+        """Record a finding at a node."""
+        self.rows.append(
+            Finding(self.source, node.line, node.column, ".".join(path), message)
+        )
+
+    def unknown_key(self, node, path, key, known):
+        """Record an unknown key together with the nearest known one."""
+        near = difflib.get_close_matches(str(key), sorted(known), n=1)
+        hint = f", did you mean {near[0]!r}?" if near else ""
+        self.add(node, (*path, str(key)), f"unknown key {key!r}{hint}")
--- /dev/null
+++ b/packages/snipebay-model/src/snipebay_model/settings.py
@@ -0,0 +1,337 @@
+"""The operators' tree of services, places and rules."""
+
+import ipaddress
+import itertools
+
+import attrs
+from returns.result import Failure, Success
+
+from snipebay_model.findings import Findings
+from snipebay_model.rules import Rules
+from snipebay_model.schema import build, names, number, read_fields, text
+from snipebay_model.yaml_source import parse_yaml
+
+__all__ = [
+    "Block",
+    "Branch",
+    "Effective",
+    "Link",
+    "Region",
+    "Settings",
+    "Shift",
+    "parse_settings",
+]
+
+DEFAULT_SOURCE = "default"
+SECTIONS = ("regions", "links", "blocks", "branches", "services", "shifts")
+
+
+@attrs.frozen
+class Region:
+    """A region with its failure domains."""
+
+    domains = names(doc="Failure domains of the region.")
+
+
+@attrs.frozen
+class Link:
+    """A limit on traffic from one region to another."""
+
+    source = text(doc="Region that sends.")
+    target = text(doc="Region that receives.")
+    limit_mbit_s = number(1, 10_000_000, 4_000, unit="Mbit/s", doc="Limit each way.")
+    delay_ms = number(0, 10_000, 35, unit="ms", whole=False, doc="One-way delay.")
+
+
+@attrs.frozen
+class Block:
+    """A block of client addresses and the failure domain nearest to it."""
+
+    network = text(form="network", doc="Block in CIDR form.")
+    domain = text(doc="Nearest failure domain.")
+
+
+@attrs.frozen
+class Shift:
+    """A share of a service's traffic moved from one region to another."""
+
+    service = text(doc="Service that is moved.")
+    source = text(doc="Region that gives traffic away.")
+    target = text(doc="Region that takes it.")
+    share = number(0, 1, attrs.NOTHING, whole=False, doc="Share of all requests.")
+
+
+@attrs.frozen
+class Branch:
+    """A branch or service of the tree with the rules that it sets itself.
+
+    Attributes:
+        name: Name, unique among branches and among services.
+        parent: Branch that it inherits from, or None.
+        own: Rules that it sets.
+    """
+
+    name: str
+    parent: str | None
+    own: dict
+
+
+@attrs.frozen
+class Effective:
+    """The value of a rule in force and the branch that set it."""
+
+    value: object
+    origin: str
+
+
+@attrs.frozen
+class Settings:
+    """A checked settings tree.
+
+    Attributes:
+        regions: Region by name.
+        links: Limits between regions.
+        blocks: Client blocks.
+        branches: Branch by name.
+        services: Service by name.
+        shifts: Shifts in force.
+    """
+
+    regions: dict
+    links: tuple = ()
+    blocks: tuple = ()
+    branches: dict = attrs.Factory(dict)
+    services: dict = attrs.Factory(dict)
+    shifts: tuple = ()
+
+    @property
+    def domains(self):
+        """Region by failure domain."""
+        return {
+            domain: name
+            for name, region in self.regions.items()
+            for domain in region.domains
+        }
+
+    def explain(self, service):
+        """Return each rule of a service with the branch that set it.
+
+        Raises:
+            KeyError: If the service is unknown.
+        """
+        result = {
+            field.name: Effective(field.default, DEFAULT_SOURCE)
+            for field in attrs.fields(Rules)
+        }
+        for branch in reversed(list(self.lineage(self.services[service]))):
+            for key, value in branch.own.items():
+                result[key] = Effective(value, branch.name)
+        return result
+
+    def rules(self, service):
+        """Return the effective rules of a service."""
+        found = self.explain(service)
+        return Rules(**{key: effective.value for key, effective in found.items()})
+
+    def lineage(self, branch):
+        """Yield a branch and its ancestors, nearest first."""
+        while branch is not None:
+            yield branch
+            branch = self.branches.get(branch.parent)
+
+    def link(self, source, target):
+        """Return the link between two regions, with defaults when not set."""
+        for link in self.links:
+            if (link.source, link.target) == (source, target):
+                return link
+        return Link(source=source, target=target)
+
+
+def parse_settings(source_text, source="settings.yaml"):
+    """Return ``Success`` of settings, or ``Failure`` of all findings.
+
+    Args:
+        source_text: YAML text.
+        source: Name of the file, for findings.
+    """
+    findings = Findings(source)
+    top = parse_yaml(source_text, findings)
+    if top is None:
+        return Failure(findings)
+    if not top.is_mapping:
+        findings.add(top, (), f"expected a mapping, got {top.plain!r}")
+        return Failure(findings)
+    for key in top.value:
+        if key not in SECTIONS:
+            findings.unknown_key(top.key_nodes[key], (), key, SECTIONS)
+    settings = Settings(
+        regions=_named(top, "regions", findings, _region),
+        links=_listed(top, "links", Link, findings),
+        blocks=_listed(top, "blocks", Block, findings),
+        branches=_named(top, "branches", findings, _branch),
+        services=_named(top, "services", findings, _branch),
+        shifts=_listed(top, "shifts", Shift, findings),
+    )
+    _check_places(settings, top, findings)
+    _check_tree(settings, top, findings)
+    _check_shifts(settings, top, findings)
+    return Failure(findings) if findings else Success(settings)
+
+
+# --- reading --------------------------------------------------------------
+
+
+def _named(top, section, findings, read):
+    """Return a section that maps names to items."""
+    node = top.value.get(section)
+    if node is None:
+        if section in ("regions", "services"):
+            findings.add(top, (section,), f"missing key {section!r}")
+        return {}
+    if not node.is_mapping:
+        findings.add(node, (section,), f"expected a mapping, got {node.plain!r}")
+        return {}
+    items = {
+        name: read(name, child, (section, str(name)), findings)
+        for name, child in node.value.items()
+    }
+    return {name: item for name, item in items.items() if item is not None}
+
+
+def _listed(top, section, cls, findings):
+    """Return a section that lists items."""
+    node = top.value.get(section)
+    if node is None:
+        return ()
+    if not node.is_sequence:
+        findings.add(node, (section,), f"expected a list, got {node.plain!r}")
+        return ()
+    items = [
+        build(cls, child, (section, str(i)), findings)
+        for i, child in enumerate(node.value)
+    ]
+    return tuple(item for item in items if item is not None)
+
+
+def _region(name, node, path, findings):
+    return build(Region, node, path, findings)
+
+
+def _branch(name, node, path, findings):
+    if node.value is None:
+        return Branch(name, None, {})
+    if not node.is_mapping:
+        findings.add(node, path, f"expected a mapping, got {node.plain!r}")
+        return None
+    for key in node.value:
+        if key not in ("parent", "rules"):
+            findings.unknown_key(node.key_nodes[key], path, key, ("parent", "rules"))
+    parent = node.value.get("parent")
+    rules = node.value.get("rules")
+    own = (
+        read_fields(Rules, rules, (*path, "rules"), findings)
+        if rules is not None
+        else {}
+    )
+    return Branch(name, parent.plain if parent else None, own or {})
+
+
+# --- checks across sections ----------------------------------------------
+
+
+def _check_places(settings, top, findings):
+    """Find unknown places, failure domains in two regions and doubled blocks."""
+    owners = {}
+    for name, region in settings.regions.items():
+        for domain in region.domains:
+            if domain in owners:
+                findings.add(
+                    top.value["regions"].value[name],
+                    ("regions", name, "domains"),
+                    f"failure domain {domain!r} stands in {owners[domain]!r} too",
+                )
+            owners[domain] = name
+    for i, link in enumerate(settings.links):
+        for key in ("source", "target"):
+            region = getattr(link, key)
+            if region not in settings.regions:
+                node = top.value["links"].value[i]
+                findings.add(node, ("links", str(i), key), f"unknown region {region!r}")
+    seen = set()
+    for i, block in enumerate(settings.blocks):
+        node = top.value["blocks"].value[i]
+        path = ("blocks", str(i))
+        if block.domain not in owners:
+            findings.add(
+                node, (*path, "domain"), f"unknown failure domain {block.domain!r}"
+            )
+        network = ipaddress.ip_network(block.network)
+        if network in seen:
+            findings.add(
+                node, (*path, "network"), f"block {block.network!r} stands twice"
+            )
+        seen.add(network)
+
+
+def _check_tree(settings, top, findings):
+    """Find unknown parents and cycles."""
+    for section, items in (
+        ("branches", settings.branches),
+        ("services", settings.services),
+    ):
+        for name, branch in items.items():
+            node = top.value[section].value[name]
+            path = (section, str(name), "parent")
+            if branch.parent is not None and branch.parent not in settings.branches:
+                findings.add(node, path, f"unknown parent {branch.parent!r}")
+            elif section == "branches" and _in_cycle(settings, branch):
+                findings.add(node, path, f"branch {name!r} is its own ancestor")
+
+
+def _in_cycle(settings, branch):
+    """Return True when following parents leads back to the branch."""
+    steps = itertools.islice(settings.lineage(branch), 1, len(settings.branches) + 1)
+    return any(step.name == branch.name for step in steps)
+
+
+def _check_shifts(settings, top, findings):
+    """Find shifts between unknown places and shares over 100 % or over the cap."""
+    totals = {}
+    cyclic = any(_in_cycle(settings, branch) for branch in settings.branches.values())
+    for i, shift in enumerate(settings.shifts):
+        node, path = top.value["shifts"].value[i], ("shifts", str(i))
+        known = _check_shift_names(settings, shift, node, path, findings)
+        if not known or cyclic:
+            continue
+        key = (shift.service, shift.source)
+        totals[key] = totals.get(key, 0) + shift.share
+        if totals[key] > 1:
+            findings.add(
+                node,
+                (*path, "share"),
+                f"shares from {shift.source!r} add up to {totals[key]:.0%}, over 100 %",
+            )
+        cap = settings.rules(shift.service).shift_cap
+        if shift.share > cap:
+            findings.add(
+                node, (*path, "share"), f"{shift.share!r} is over shift_cap {cap!r}"
+            )
+
+
+def _check_shift_names(settings, shift, node, path, findings):
+    """Return True when a shift names a known service and two known regions."""
+    wrong = [
+        (key, kind, getattr(shift, key))
+        for key, kind, table in (
+            ("service", "service", settings.services),
+            ("source", "region", settings.regions),
+            ("target", "region", settings.regions),
+        )
+        if getattr(shift, key) not in table
+    ]
+    for key, kind, value in wrong:
+        findings.add(node, (*path, key), f"unknown {kind} {value!r}")
+    if shift.source == shift.target:
+        findings.add(node, path, f"source and target are both {shift.source!r}")
+        return False
+    return not wrong
--- /dev/null
+++ b/packages/snipebay-model/src/snipebay_model/units.py
@@ -0,0 +1,19 @@
+"""Units, limits and protocol constants that several packages share."""
+
+__all__ = [
+    "ANSWER_KEPT_BYTES",
+    "BODY_LIMIT_BYTES",
+    "FRAME_LIMIT_BYTES",
+    "HEAD_LIMIT_BYTES",
+    "LOOKUP_TTL_S",
+    "MBIT_BYTES",
+    "PROTOCOL_VERSION",
+]
+
+PROTOCOL_VERSION = 1
+MBIT_BYTES = 125_000
+HEAD_LIMIT_BYTES = 16 * 1024
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+FRAME_LIMIT_BYTES = 64 * 1024 * 1024
+ANSWER_KEPT_BYTES = 16 * 1024
+LOOKUP_TTL_S = 5
--- /dev/null
+++ b/packages/snipebay-node/src/snipebay_node/__init__.py
@@ -0,0 +1,1 @@
+"""The snipebay daemon."""
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure steering decisions of snipebay."""
--- /dev/null
+++ b/packages/snipebay-testbed/src/snipebay_testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool, benches and proofs of snipebay."""
