--- /dev/null
+++ b/packages/snipebay-cli/src/snipebay_cli/render.py
@@ -0,0 +1,126 @@
+"""Text that operators read."""
+
+import difflib
+
+__all__ = ["diff_lines", "render_backends", "render_explain", "render_status"]
+
+
+def render_table(header, rows):
+    """Return aligned columns as one text."""
+    cells = [header, *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(header))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    )
+
+
+def render_status(status):
+    """Return the state of the system."""
+    everywhere = status.in_force >= status.revision
+    force = "everywhere" if everywhere else f"up to {status.in_force} everywhere"
+    head = (
+        f"leader {status.leader or 'none'}, term {status.term}, "
+        f"revision {status.revision} in force {force}, "
+        f"settings {status.settings_revision}, {status.claims} keys remembered"
+    )
+    members = render_table(
+        ["CONTROL", "VOTES", "LOG", "HEARD"],
+        [
+            (
+                m.node,
+                "yes" if m.voter else "learns",
+                m.match_index or "-",
+                "yes" if m.heard else "no",
+            )
+            for m in status.members
+        ],
+    )
+    entries = render_table(
+        ["ENTRY", "REGION", "DOMAIN", "ADDRESS", "IN FORCE", "STATE"],
+        [
+            (
+                e.row.entry_id,
+                e.row.region,
+                e.row.domain,
+                e.row.address,
+                e.applied,
+                _entry_state(e, status),
+            )
+            for e in status.entries
+        ],
+    )
+    return f"{head}\n\n{members}\n\n{entries}"
+
+
+def render_backends(status):
+    """Return the backend servers."""
+    return render_table(
+        ["BACKEND", "SERVICE", "REGION", "DOMAIN", "ADDRESS", "SLOTS", "STATE"],
+        [
+            (
+                b.backend_id,
+                b.service,
+                b.region,
+                b.domain,
+                b.address,
+                b.slots,
+                _backend_state(b, status),
+            )
+            for b in status.backends
+        ],
+    )
+
+
+def render_explain(service, settings, routing):
+    """Return the rules of a service, and why its traffic goes where it goes."""
+    rules = render_table(
+        ["RULE", "VALUE", "SET BY"],
+        [(k, v.value, v.origin) for k, v in settings.explain(service).items()],
+    )
+    if routing is None:
+        return rules
+    head = (
+        f"at {routing['instance']}, revision {routing['revision']}: "
+        f"{routing['requests']} requests, {routing['shifted']} sent to other regions "
+        f"(cap {routing['shift_cap']:.0%}), {routing['waiting']} waiting; "
+        + ("may serve" if routing["may_serve"] else "may not serve: no lease")
+    )
+    backends = render_table(
+        ["BACKEND", "REGION", "DOMAIN", "OPEN", "EJECTED", "COST s", "SLOTS HERE"],
+        [
+            (
+                b["backend_id"],
+                b["region"],
+                b["domain"],
+                "yes" if b["open"] else "no",
+                "yes" if b["ejected"] else "no",
+                b["cost_s"],
+                " ".join(sorted(b["slots_here"].values())) or "-",
+            )
+            for b in routing["backends"]
+        ],
+    )
+    return f"{rules}\n\n{head}\n\n{backends}"
+
+
+def diff_lines(old, new):
+    """Return the change from one settings text to another."""
+    lines = difflib.unified_diff(
+        old.splitlines(), new.splitlines(), "in force", "new", lineterm=""
+    )
+    return "\n".join(lines)
+
+
+def _entry_state(entry, status):
+    if entry.row.leaving:
+        return "leaving"
+    return "current" if entry.applied >= status.revision else "behind"
+
+
+def _backend_state(row, status):
+    if row.backend_id in status.drained:
+        return "drained"
+    return "serving" if row.is_open else "draining"
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -277,9 +277,12 @@
         """Send entry instances what changed, without waiting to be asked."""
         for entry_id, report in self.sessions.reports.items():
             base = max(report.applied, self._pushed.get(entry_id, 0))
-            if base < self.state.revision and entry_id in self.state.entries:
+            state_row = self.state.entries.get(entry_id)
+            if base < self.state.revision and state_row is not None:
                 self._pushed[entry_id] = self.state.revision
-                self._outbox.append((entry_id, self._reply(base, granted=False)))
+                self._outbox.append(
+                    (entry_id, self._reply(state_row.region, base, granted=False))
+                )
 
     # --- requests ---------------------------------------------------------
 
@@ -293,28 +296,36 @@
         if known:
             self.sessions.renew(msg, self.state, self._now_s)
             self._pushed[msg.row.entry_id] = self.state.revision
-        moved = row is not None and row.address != msg.row.address
-        if row is None or not moved:
-            # Another address under a live lease is a second instance with the id.
+        refused = self._second_instance(row, msg.row)
+        if not refused:
             self._put_entry(row, msg.row)
-        reply = self._reply(msg.applied, granted=known, sent_ms=msg.sent_ms)
-        self._outbox.append((sender, reply))
+        reply = self._reply(
+            msg.row.region, msg.applied, granted=known, sent_ms=msg.sent_ms
+        )
+        self._outbox.append((sender, attrs.evolve(reply, refused=refused)))
+
+    def _second_instance(self, old, row):
+        """Return why an instance may not take an id, or an empty string."""
+        moved = old is not None and old.address != row.address
+        if moved and self.sessions.is_live(old.entry_id, self._now_s):
+            return f"instance id {row.entry_id!r} is in use at {old.address}"
+        return ""
 
     def _put_entry(self, old, row):
         since = old.since_revision if old else 0
         if old != attrs.evolve(row, since_revision=since):
             self._propose_once(messages.PutEntry(row))
 
-    def _reply(self, base, *, granted, sent_ms=0):
+    def _reply(self, region, base, *, granted, sent_ms=0):
         return RenewReply(
             leader=self.leader_id,
             granted=granted,
             sent_ms=sent_ms,
             lease_ms=int(self.cfg.leases.entry_lease_s * 1_000),
-            settled_floor=self.sessions.floor(self.state, "settled"),
+            settled_floor=self.sessions.settled(self.state, region),
             quorum_revision=self.state.revision,
             delta=self.state.delta(base),
-            drained=self.sessions.drained(self.state),
+            drained=self.sessions.drained(self.state, self._now_s),
         )
 
     def _on_command(self, sender, msg):
@@ -400,8 +411,7 @@
             commit=self.raft.commit,
             revision=self.state.revision,
             settings_revision=self.state.settings_revision,
-            in_force=self.sessions.floor(self.state, "applied"),
-            settled=self.sessions.floor(self.state, "settled"),
+            in_force=self.sessions.in_force(self.state),
             claims=len(self.state.claims.rows),
             members=tuple(
                 MemberStatus(
@@ -422,5 +432,5 @@
                 for entry_id, row in sorted(self.state.entries.items())
             ),
             backends=tuple(row for _, row in sorted(self.state.backends.items())),
-            drained=self.sessions.drained(self.state),
+            drained=self.sessions.drained(self.state, self._now_s),
         )
--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -62,13 +62,28 @@
         self.backend_until_s[backend_id] = self._backend_end(service, now_s)
 
     def lapsed_entries(self, state, now_s):
-        """Return rows of entry instances whose lease and settling time are over."""
+        """Return rows of entry instances to remove, their leases being over.
+
+        Instances of one region that are cut off together go on serving it, on
+        each other's word. So a row is removed only when an instance of its
+        region that it knows of is alive: by that one's beats it learns to stop.
+        """
+        rows = [row for _, row in sorted(state.entries.items())]
+        live = [row for row in rows if self.is_live(row.entry_id, now_s)]
         return [
             row
-            for entry_id, row in sorted(state.entries.items())
-            if self.entry_until_s.setdefault(entry_id, self._entry_end(now_s)) <= now_s
+            for row in rows
+            if row not in live
+            and any(
+                other.region == row.region and self._knows(row, other) for other in live
+            )
         ]
 
+    def is_live(self, entry_id, now_s):
+        """Return True while an entry instance's lease and settling time last."""
+        end_s = self.entry_until_s.setdefault(entry_id, self._entry_end(now_s))
+        return now_s < end_s
+
     def lapsed_backends(self, state, now_s):
         """Return rows of backend servers whose lease is over."""
         return [
@@ -80,33 +95,49 @@
             <= now_s
         ]
 
-    def floor(self, state, attribute):
-        """Return the revision that every live entry instance has reached.
-
-        Args:
-            state: Replicated state.
-            attribute: ``applied`` or ``settled`` of :class:`Renew`.
-        """
+    def in_force(self, state):
+        """Return the revision that every entry instance has in force."""
         reports = [self._report(row) for row in state.entries.values()]
         if not reports:
             return state.revision
-        return min(getattr(msg, attribute) if msg else 0 for msg in reports)
+        return min(msg.applied if msg else 0 for msg in reports)
 
-    def drained(self, state):
+    def settled(self, state, region):
+        """Return the revision that every entry instance of a region has settled."""
+        reports = [
+            self._report(row) for row in state.entries.values() if row.region == region
+        ]
+        if not reports:
+            return state.revision
+        return min(msg.settled if msg else 0 for msg in reports)
+
+    def drained(self, state, now_s):
         """Return backend servers that leave and have no work left anywhere."""
-        reports = [self._report(row) for row in state.entries.values()]
         return tuple(
-            backend_id
-            for backend_id, row in sorted(state.backends.items())
+            row.backend_id
+            for _, row in sorted(state.backends.items())
             if not row.is_open
             and all(
-                msg is not None
-                and msg.applied >= row.since_revision
-                and backend_id not in msg.busy_leaving
-                for msg in reports
+                self._has_left(entry, row)
+                for entry in state.entries.values()
+                if entry.region == row.region or self.is_live(entry.entry_id, now_s)
             )
         )
 
+    def _has_left(self, entry, backend):
+        """Return True when an entry instance is done with a backend server."""
+        msg = self._report(entry)
+        return (
+            msg is not None
+            and msg.applied >= backend.since_revision
+            and backend.backend_id not in msg.busy_leaving
+        )
+
+    def _knows(self, row, other):
+        """Return True when an entry instance's view holds another one."""
+        msg = self._report(row)
+        return other.since_revision <= (msg.applied if msg else row.since_revision)
+
     def _report(self, row):
         """Return the report of the incarnation in the table, or None."""
         msg = self.reports.get(row.entry_id)
--- a/packages/snipebay-model/src/snipebay_model/instance.py
+++ b/packages/snipebay-model/src/snipebay_model/instance.py
@@ -34,6 +34,9 @@
     metrics = text(form="address", doc="Address for metrics and health.")
     data = text("", doc="Data folder, needed by the role control.")
     log_level = choice(LEVELS, "info", doc="Least level that is logged.")
+    operator_token_file = text(
+        "", doc="File with the token that operators must send, empty for none."
+    )
     trace_file = text("", doc="File for spans as JSON lines, empty for none.")
     trace_share = number(
         0, 1, 0.01, whole=False, doc="Share of requests traced without being asked."
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -340,6 +340,7 @@
         quorum_revision: Newest revision committed.
         delta: Changes the entry instance lacks, or None.
         drained: Backend servers that no live entry instance uses any more.
+        refused: Why the sender may not join, or empty.
     """
 
     leader: str
@@ -350,6 +351,7 @@
     quorum_revision: int = 0
     delta: ViewDelta | None = None
     drained: tuple[str, ...] = ()
+    refused: str = ""
 
 
 # --- between entry instances ----------------------------------------------
--- a/packages/snipebay-model/src/snipebay_model/schema.py
+++ b/packages/snipebay-model/src/snipebay_model/schema.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["build", "choice", "flag", "names", "number", "text"]
+__all__ = ["build", "choice", "flag", "is_address", "names", "number", "text"]
 
 
 def number(low, high, default, *, unit="", doc="", whole=True):
@@ -34,7 +34,7 @@
 
 def _field(kind, default, doc, unit, **rule):
     rule = {"kind": kind, "doc": doc, "unit": unit, **rule}
-    return attrs.field(default=default, metadata=rule)
+    return attrs.field(default=default, metadata=rule, kw_only=True)
 
 
 def build(cls, node, path, findings, *, extra=()):
@@ -126,14 +126,20 @@
     return f"expected a word, got {node.plain!r}"
 
 
-def _address_problem(rule, node):
-    host, _, port = str(node.value).rpartition(":")
+def is_address(value):
+    """Return True for ``host:port`` by IP number."""
+    host, _, port = str(value).rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        valid = port.isdigit() and 0 < int(port) < 65536
     except ValueError:
-        valid = False
-    return "" if valid else f"expected an IP number and port, got {node.plain!r}"
+        return False
+    return port.isdigit() and 0 < int(port) < 65536
+
+
+def _address_problem(rule, node):
+    if is_address(node.value):
+        return ""
+    return f"expected an IP number and port, got {node.plain!r}"
 
 
 def _network_problem(rule, node):
--- a/packages/snipebay-model/src/snipebay_model/status.py
+++ b/packages/snipebay-model/src/snipebay_model/status.py
@@ -49,8 +49,7 @@
         commit: Last committed index of the log.
         revision: Newest view revision.
         settings_revision: Newest settings revision.
-        in_force: Revision that every live entry instance has in force.
-        settled: Revision that every live entry instance has settled.
+        in_force: Revision that every entry instance has in force.
         claims: Idempotency keys remembered.
         members: Control instances.
         entries: Entry instances.
@@ -64,7 +63,6 @@
     revision: int
     settings_revision: int
     in_force: int
-    settled: int
     claims: int
     members: tuple[MemberStatus, ...]
     entries: tuple[EntryStatus, ...]
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/deal.py
@@ -0,0 +1,67 @@
+"""Deals the slots of backend servers out to entry instances.
+
+Source: rendezvous hashing (Thaler and Ravishankar, 1998) with a bound on the
+load of each owner (Mirrokni et al., 2018), so that a change of the owners
+moves few slots.
+"""
+
+import hashlib
+import itertools
+import math
+
+import attrs
+
+__all__ = ["Slot", "deal_slots"]
+
+
+@attrs.frozen(order=True)
+class Slot:
+    """The right to run one request at a time on a backend server."""
+
+    backend_id: str
+    number: int
+
+
+def deal_slots(view):
+    """Return the owner of each slot that has one.
+
+    Slots go to entry instances of the backend server's own region: these keep
+    them while cut off from control together with it. A region without entry
+    instances has no owners.
+
+    Args:
+        view: The view to deal by.
+    """
+    owners = {}
+    key = lambda row: (row.service, row.region)  # noqa: E731
+    rows = sorted((row for row in view.backends if row.is_open), key=key)
+    for (_, region), group in itertools.groupby(rows, key):
+        entries = [
+            row.entry_id
+            for row in view.entries
+            if row.region == region and not row.leaving
+        ]
+        if entries:
+            owners.update(_deal_group(list(group), entries))
+    return owners
+
+
+def _deal_group(backends, entries):
+    """Return the owners of the slots of one service in one region."""
+    slots = [
+        Slot(row.backend_id, number) for row in backends for number in range(row.slots)
+    ]
+    room = dict.fromkeys(entries, math.ceil(len(slots) / len(entries)))
+    owners = {}
+    for slot in slots:
+        ranked = sorted(entries, key=lambda entry_id, s=slot: _rank(entry_id, s))
+        owner = next(entry_id for entry_id in ranked if room[entry_id])
+        room[owner] -= 1
+        owners[slot] = owner
+    return owners
+
+
+def _rank(entry_id, slot):
+    """Return where an entry instance stands in the order of a slot."""
+    text = f"{entry_id}/{slot.backend_id}/{slot.number}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/health.py
@@ -0,0 +1,125 @@
+"""What an entry instance learns of backend servers from its own requests."""
+
+import statistics
+
+import attrs
+
+__all__ = ["BackendHealth", "HealthTable"]
+
+LATENCY_WEIGHT = 0.2
+COLD_PENALTY_S = 10.0
+OUTLIER_FACTOR = 3.0
+OUTLIER_FLOOR_S = 0.005
+OUTLIER_SAMPLES = 5
+
+
+@attrs.define
+class BackendHealth:
+    """Latency and failures of one backend server.
+
+    Attributes:
+        service: Its service.
+        first_seen_s: When it joined.
+        slow_start_s: Time in which it warms up.
+        latency_s: Moving average over answers, None before the first.
+        samples: Answers seen.
+        failures: Failures in a row.
+        ejected_until_s: End of its ejection.
+    """
+
+    service: str
+    first_seen_s: float
+    slow_start_s: float
+    latency_s: float | None = None
+    samples: int = 0
+    failures: int = 0
+    ejected_until_s: float = float("-inf")
+
+    def is_ejected(self, now_s):
+        return now_s < self.ejected_until_s
+
+    def cold_share(self, now_s):
+        """Return how cold it is, from 1 when new to 0 when warm."""
+        if self.slow_start_s <= 0:
+            return 0.0
+        return max(0.0, 1.0 - (now_s - self.first_seen_s) / self.slow_start_s)
+
+
+@attrs.define
+class HealthTable:
+    """Health of all backend servers in view.
+
+    Load reports of backend servers are not used: limits hold because slots
+    are counted here, and latency is measured here, so a report that lags or
+    misleads changes nothing.
+    """
+
+    rows: dict = attrs.Factory(dict)
+
+    def adopt(self, view, rules_of, now_s):
+        """Take in new backend servers and forget those that are gone."""
+        first = not self.rows
+        known = {row.backend_id: row for row in view.backends}
+        self.rows = {i: row for i, row in self.rows.items() if i in known}
+        for backend_id, row in known.items():
+            if backend_id not in self.rows:
+                slow_s = rules_of(row.service).slow_start_s
+                # Those there before us are taken as warm.
+                seen_s = now_s - slow_s if first else now_s
+                self.rows[backend_id] = BackendHealth(row.service, seen_s, slow_s)
+
+    def score(self, backend_id, now_s):
+        """Return the expected cost of a request there in seconds."""
+        row = self.rows[backend_id]
+        return (row.latency_s or 0.0) + COLD_PENALTY_S * row.cold_share(now_s)
+
+    def is_usable(self, backend_id, now_s):
+        """Return True for a known backend server that is not ejected."""
+        row = self.rows.get(backend_id)
+        return row is not None and not row.is_ejected(now_s)
+
+    def succeed(self, backend_id, latency_s, rules, now_s):
+        """Take note of an answer."""
+        row = self.rows.get(backend_id)
+        if row is None:
+            return
+        row.failures = 0
+        row.samples += 1
+        if row.latency_s is None:
+            row.latency_s = latency_s
+        else:
+            row.latency_s += LATENCY_WEIGHT * (latency_s - row.latency_s)
+        if self._is_outlier(row):
+            self._eject(row, rules, now_s)
+            # After the ejection it is judged anew.
+            row.latency_s, row.samples = None, 0
+
+    def fail(self, backend_id, rules, now_s):
+        """Take note of a failure."""
+        row = self.rows.get(backend_id)
+        if row is None:
+            return
+        row.failures += 1
+        if row.failures >= rules.eject_failures:
+            self._eject(row, rules, now_s)
+
+    def _is_outlier(self, row):
+        """Return True when it is far slower than the others of its service."""
+        others = [
+            other.latency_s
+            for other in self.rows.values()
+            if other.service == row.service
+            and other is not row
+            and other.latency_s is not None
+        ]
+        if row.samples < OUTLIER_SAMPLES or not others:
+            return False
+        usual_s = max(statistics.median(others), OUTLIER_FLOOR_S)
+        return row.latency_s > OUTLIER_FACTOR * usual_s
+
+    def _eject(self, row, rules, now_s):
+        """Keep work away for a while, unless too many are ejected already."""
+        peers = [other for other in self.rows.values() if other.service == row.service]
+        ejected = sum(other.is_ejected(now_s) for other in peers if other is not row)
+        if ejected + 1 <= rules.eject_ceiling * len(peers):
+            row.ejected_until_s = now_s + rules.eject_s
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/shares.py
@@ -0,0 +1,106 @@
+"""Keeps the share of requests sent to other regions under its cap.
+
+Each entry instance holds its own shifted requests under the cap times its own
+requests. Sums of both sides keep the inequality, so it holds for the whole
+region without a message between instances.
+"""
+
+import attrs
+
+__all__ = ["LinkMeter", "Ramp", "ShareMeter"]
+
+CAP_CREDIT = 20.0
+WANT_CREDIT = 5.0
+
+
+@attrs.define
+class Ramp:
+    """A share that follows its target at a bounded speed."""
+
+    per_s: float
+    value: float = 0.0
+    _at_s: float | None = None
+
+    def move(self, target, now_s):
+        """Return the share at a time, moved towards the target."""
+        elapsed_s = now_s - self._at_s if self._at_s is not None else 0.0
+        self._at_s = now_s
+        step = self.per_s * elapsed_s
+        if target > self.value:
+            self.value = min(target, self.value + step)
+        else:
+            self.value = max(target, self.value - step)
+        return self.value
+
+
+@attrs.define
+class ShareMeter:
+    """Counts requests of one service from one region and those sent elsewhere.
+
+    Credit that is not used is kept only up to a bound, so that a quiet time
+    does not pay for a burst: over any stretch the shifted requests are at most
+    the cap times all requests, plus ``CAP_CREDIT``, and never more than the cap
+    times all requests since the start.
+    """
+
+    cap: float
+    total: int = 0
+    shifted: int = 0
+    _credit: float = 0.0
+    _wanted: dict = attrs.Factory(dict)
+
+    def arrive(self, shares):
+        """Count a request and return the region that it should go to, or None.
+
+        Args:
+            shares: Wanted share in force by target region.
+        """
+        self.total += 1
+        self._credit = min(CAP_CREDIT, self._credit + self.cap)
+        for region, share in shares.items():
+            wanted = self._wanted.get(region, 0.0) + share
+            self._wanted[region] = min(WANT_CREDIT, wanted)
+        chosen = max(self._wanted, key=self._wanted.get, default=None)
+        if chosen is None or self._wanted[chosen] < 1 or not self.may_shift:
+            return None
+        self._wanted[chosen] -= 1
+        return chosen
+
+    @property
+    def may_shift(self):
+        """True when one more request may go to another region."""
+        return self._credit >= 1
+
+    def shift(self):
+        """Count a request as sent to another region."""
+        self._credit -= 1
+        self.shifted += 1
+
+
+@attrs.define
+class LinkMeter:
+    """Bytes that this instance may draw over one link between regions."""
+
+    bytes_per_s: float
+    burst_s: float = 0.25
+    _credit: float = 0.0
+    _at_s: float | None = None
+
+    def allows(self, size, now_s):
+        """Return True when an answer of a size fits the limit now."""
+        self._refill(now_s)
+        return self._credit >= min(size, self.bytes_per_s * self.burst_s)
+
+    def spend(self, size, now_s):
+        """Count bytes that crossed the link; may leave a debt."""
+        self._refill(now_s)
+        self._credit -= size
+
+    def _refill(self, now_s):
+        full = self.bytes_per_s * self.burst_s
+        if self._at_s is None:
+            self._credit = full
+        else:
+            gained = (now_s - self._at_s) * self.bytes_per_s
+            self._credit = min(full, self._credit + gained)
+        self._at_s = now_s
