Promises under random faults; keys told as not run stay so; no second answer kept

Cause, found by the new runs on fakes: (1) a key was told as not run to one send while a second send of it was still on its way and ran later; (2) a full queue and an instance without settings said not run without asking anyone; (3) a backend server's second answer in the same bytes was kept by the parser and would have answered the next request on that connection. Ruled out: dispatch after the deadline (the last check before the first byte held), replay of a wrong answer, loss of a claim with a control disk. Change: an aborted key never runs, the caller sends under a new one; refusals of keyed requests ask control first or say unknown; connections with bytes behind the answer are closed.

--- a/packages/snipebay-control/src/snipebay_control/claims.py
+++ b/packages/snipebay-control/src/snipebay_control/claims.py
@@ -26,7 +26,6 @@
         http_status: Status of the answer.
         content_type: Content type of the answer.
         answer: Body of the answer, None when it was not kept.
-        aborted_ids: Claims that will never be granted.
     """
 
     service: str
@@ -39,7 +38,6 @@
     http_status: int = 0
     content_type: str = ""
     answer: bytes | None = None
-    aborted_ids: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -52,10 +50,7 @@
         """Return the outcome of a claim, granting it if the key is free."""
         row = self.rows.get((cmd.service, cmd.key))
         if row is not None:
-            refusal = self._refusal(row, cmd)
-            if refusal is not None:
-                return refusal
-        aborted_ids = row.aborted_ids if row is not None else ()
+            return self._answer(row, cmd)
         self._put(
             ClaimRow(
                 cmd.service,
@@ -65,7 +60,6 @@
                 RUNNING,
                 now_ms + cmd.retention_ms,
                 cmd.digest,
-                aborted_ids=aborted_ids,
             )
         )
         return Outcome("ok")
@@ -88,25 +82,22 @@
         )
         return Outcome("ok")
 
-    def abort(self, cmd: Abort, now_ms, retention_ms):
-        """Record that a claim was not run, also when it has not arrived yet."""
+    def abort(self, cmd: Abort, now_ms):
+        """Record that a key was not run, and keep it from ever being run.
+
+        The key stays aborted, so that a second send of the same request, which
+        may still be on its way, can't run after the caller was told "not run".
+        """
         row = self.rows.get((cmd.service, cmd.key))
         if row is None:
-            row = ClaimRow(cmd.service, cmd.key, "", "", ABORTED, now_ms + retention_ms)
-        elif row.claim_id == cmd.claim_id and row.status in (DONE, UNKNOWN):
-            return Outcome(row.status)
-        mine = row.claim_id == cmd.claim_id
-        self._put(
-            attrs.evolve(
-                row,
-                status=ABORTED if mine else row.status,
-                aborted_ids=(*row.aborted_ids, cmd.claim_id),
-            )
-        )
-        # Another claim on the key is another request's run, which the caller
-        # of this one must not take for "not run".
-        others_run = not mine and row.status != ABORTED
-        return Outcome("running" if others_run else "ok")
+            expires_ms = now_ms + cmd.retention_ms
+            row = ClaimRow(cmd.service, cmd.key, cmd.claim_id, "", ABORTED, expires_ms)
+        elif row.status == RUNNING and row.claim_id == cmd.claim_id:
+            row = attrs.evolve(row, status=ABORTED)
+        elif row.status != ABORTED:
+            return Outcome(row.status, detail=f"claimed by {row.claimer!r}")
+        self._put(row)
+        return Outcome("ok")
 
     def reap(self, now_ms):
         """Forget keys past their retention; return how many."""
@@ -119,12 +110,10 @@
         self.rows[row.service, row.key] = row
 
     @staticmethod
-    def _refusal(row, cmd):
-        """Return why a claim can't be granted, or None when it can."""
-        if cmd.claim_id in row.aborted_ids:
-            return Outcome("aborted", detail=f"claim {cmd.claim_id!r} was aborted")
+    def _answer(row, cmd):
+        """Return the outcome of a claim on a key that is known."""
         if row.status == ABORTED:
-            return None
+            return Outcome("aborted", detail="the key was not run and never will be")
         if row.digest != cmd.digest:
             return Outcome("mismatch", detail=f"key {row.key!r} had another request")
         if row.claim_id == cmd.claim_id and row.status == RUNNING:
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -17,7 +17,6 @@
 JOURNAL_ROWS = 2_048
 CHANGES_KEPT = 200
 CHANGE_IDS_KEPT = 10_000
-ABORT_RETENTION_MS = 3_600_000
 
 
 @attrs.frozen
@@ -79,7 +78,7 @@
             messages.RemoveEntry: self._remove_entry,
             messages.Claim: lambda cmd: self.claims.claim(cmd, self.now_ms),
             messages.Finish: self.claims.finish,
-            messages.Abort: self._abort,
+            messages.Abort: lambda cmd: self.claims.abort(cmd, self.now_ms),
             messages.Reap: self._reap,
         }
 
@@ -261,9 +260,6 @@
         del self.entries[cmd.entry_id]
         return Outcome("ok", self._touch("entries", cmd.entry_id))
 
-    def _abort(self, cmd):
-        return self.claims.abort(cmd, self.now_ms, ABORT_RETENTION_MS)
-
     def _reap(self, cmd):
         self.now_ms = max(self.now_ms, cmd.now_ms)
         return Outcome("ok", detail=str(self.claims.reap(self.now_ms)))
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -223,11 +223,12 @@
 
 @attrs.frozen
 class Abort:
-    """Records that the claim was not run and never will be."""
+    """Records that the key was not run and never will be."""
 
     service: str
     key: str
     claim_id: str
+    retention_ms: int
 
 
 @attrs.frozen
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -230,7 +230,9 @@
         )
 
     def _recycle(self):
-        reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        ended = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        # Bytes behind the answer would be taken for the next request's answer.
+        reusable = ended and not self.http.trailing_data[0]
         if reusable and self.stream.is_open:
             self.http.start_next_cycle()
             self.since_s = self.pool.clock()
--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -49,7 +49,11 @@
     def arrive(self, request_id, info, now_s):
         """Take in a request whose head has been read."""
         if info.service not in self.ctx.settings.services:
-            self._refuse(request_id, 404, f"unknown service {info.service!r}")
+            # Where nothing is known of the service, an earlier send of the key
+            # may yet have run.
+            outcome = UNKNOWN if info.key else NOT_RUN
+            detail = f"unknown service {info.service!r}"
+            self.ctx.act(Problem(request_id, 404, outcome, detail))
             return
         rules = self.ctx.rules(info.service)
         if not rules.idempotent and not info.key:
@@ -58,7 +62,8 @@
             )
             return
         waiting = self.ctx.waiting.setdefault(info.service, {})
-        if len(waiting) >= rules.queue_limit:
+        is_full = len(waiting) >= rules.queue_limit
+        if is_full and rules.idempotent:
             self._refuse(request_id, 503, "too many requests wait here", 1)
             return
         timeout_s = rules.deadline_ms / 1_000
@@ -75,10 +80,15 @@
             now_s + timeout_s,
         )
         self.rows[request_id] = row
+        if is_full:
+            # An earlier send may have run, so even a refusal asks control.
+            row.claim_id = self._new_claim_id(row)
+            self._begin_abort(row, now_s)
+            return
         waiting[request_id] = row
         self.ctx.budget(info.service).earn()
         if not rules.idempotent:
-            row.claim_id = f"{self.ctx.entry_id}/{self._incarnation}/{request_id}"
+            row.claim_id = self._new_claim_id(row)
             self._send_claim(row, now_s)
         self.pump(info.service, now_s)
 
@@ -189,7 +199,7 @@
         if row is None or row.claim_state != "aborting":
             return
         if outcome.code == "ok":
-            self._end(row, 503, NOT_RUN, "not run, and it never will be", 1)
+            self._end(row, 503, NOT_RUN, "not run; send it under a new key", 1)
         elif outcome.code != "not-leader":
             self._end(row, 409, UNKNOWN, f"another request has the key: {outcome.code}")
 
@@ -474,6 +484,9 @@
 
     # --- claims -----------------------------------------------------------
 
+    def _new_claim_id(self, row):
+        return f"{self.ctx.entry_id}/{self._incarnation}/{row.request_id}"
+
     def _claim_key(self, row):
         return row.info.service, row.info.key, row.claim_id
 
@@ -496,7 +509,7 @@
         row.claim_state, row.asked_s = "aborting", now_s
         request_id = row.request_id
         self.commands.send(
-            Abort(*self._claim_key(row)),
+            Abort(*self._claim_key(row), row.rules.retention_s * 1_000),
             lambda o, t: self.abort_answered(request_id, o, t),
         )
 
--- /dev/null
+++ b/packages/snipebay-policy/tests/test_entry_core.py
@@ -0,0 +1,374 @@
+"""Tests of the decisions of one entry instance, without a network."""
+
+import unittest
+
+import attrs
+from snipebay_model.messages import (
+    LoanReply,
+    LoanRequest,
+    Outcome,
+    PeerBeat,
+    RenewReply,
+)
+from snipebay_model.view import BackendRow, EntryRow, ViewDelta
+from snipebay_policy.context import EntryConfig
+from snipebay_policy.entry import EntryCore
+from snipebay_policy.health import HealthTable
+from snipebay_policy.lookup import BlockTable
+from snipebay_policy.shares import LinkMeter, Ramp, ShareMeter
+from snipebay_policy.slots import BUSY, FREE, LENT
+from snipebay_policy.work import Dispatch, Problem, Replay, RequestInfo, Send
+
+TREE = """
+regions: {a: {domains: [x, y]}, b: {domains: [z]}}
+blocks:
+  - {network: 10.0.0.0/8, domain: x}
+  - {network: 10.1.0.0/16, domain: z}
+services:
+  read: {rules: {deadline_ms: 1000, retries: 1, eject_failures: 2, slow_start_s: 0}}
+  write: {rules: {deadline_ms: 1000, idempotent: false}}
+"""
+
+
+def entry_row(entry_id, region="a", domain="x"):
+    return EntryRow(entry_id, "run", f"127.0.0.1:1{entry_id[1:]}", "", region, domain)
+
+
+def backend_row(number, service="read", slots=2, **changes):
+    row = BackendRow(f"{service}-{number}", service, "127.0.0.1:9", "a", "x", slots)
+    return attrs.evolve(row, **changes)
+
+
+class EntryCase(unittest.TestCase):
+    """Holds an entry instance that owns all slots of its region."""
+
+    def setUp(self):
+        self.now_s = 100.0
+        self.core = EntryCore(EntryConfig(entry_row("e1")), ("c1",), 7)
+        self.backends = [backend_row(1), backend_row(2), backend_row(1, "write")]
+        self.entries = [entry_row("e1")]
+        self.revision = 0
+        self.renew()
+        self.pass_time(2.0)
+
+    def renew(self, granted=True):
+        self.revision += 1
+        delta = ViewDelta(
+            0,
+            self.revision,
+            True,
+            TREE,
+            1,
+            tuple(self.backends),
+            (),
+            tuple(self.entries),
+        )
+        sent_ms = int(self.now_s * 1_000)
+        reply = RenewReply("c1", granted, sent_ms, 3_000, self.revision, self.revision)
+        reply = attrs.evolve(reply, delta=delta)
+        self.core.receive("c1", reply, self.now_s)
+        self.core.take_actions()
+
+    def pass_time(self, seconds, renew=True):
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.1
+            if renew:
+                self.core.ctx.standing.renew(int(self.now_s * 1_000), 3_000)
+            self.core.tick(self.now_s)
+
+    def arrive(self, request_id=1, service="read", key=""):
+        info = RequestInfo(service, None, key, "digest")
+        self.core.requests.arrive(request_id, info, self.now_s)
+        return self.actions()
+
+    def actions(self, kind=None):
+        found = [a for a in self.core.take_actions() if not isinstance(a, Send)]
+        return [a for a in found if kind is None or isinstance(a, kind)]
+
+    def grant(self, request_id, code="ok", **values):
+        outcome = Outcome(code, **values)
+        self.core.requests.claim_answered(request_id, outcome, self.now_s)
+        return self.actions()
+
+
+class TestRequests(EntryCase):
+    def test_read_is_dispatched_and_retried_elsewhere(self):
+        (first,) = self.arrive()
+        self.assertIsInstance(first, Dispatch)
+        self.assertTrue(self.core.requests.may_write(first.attempt_id, self.now_s))
+        self.core.requests.failed(first.attempt_id, self.now_s, "closed")
+        (second,) = self.actions()
+        self.assertNotEqual(first.backend, second.backend)
+
+    def test_write_waits_for_its_claim(self):
+        self.assertEqual(self.arrive(service="write", key="k"), [])
+        (dispatch,) = self.grant(1)
+        self.assertEqual(dispatch.backend.service, "write")
+
+    def test_write_without_a_key_is_refused(self):
+        (problem,) = self.arrive(service="write")
+        self.assertEqual((problem.status, problem.outcome), (428, "not-run"))
+
+    def test_write_is_not_retried_once_a_byte_went_out(self):
+        self.arrive(service="write", key="k")
+        (dispatch,) = self.grant(1)
+        self.core.requests.may_write(dispatch.attempt_id, self.now_s)
+        self.core.requests.failed(dispatch.attempt_id, self.now_s, "closed")
+        (problem,) = self.actions()
+        self.assertEqual(problem.outcome, "unknown")
+
+    def test_process_that_stood_still_writes_nothing(self):
+        self.arrive(service="write", key="k")
+        (dispatch,) = self.grant(1)
+        self.now_s += 5
+        may = self.core.requests.may_write(dispatch.attempt_id, self.now_s)
+        self.assertFalse(may)
+
+    def test_not_run_is_told_only_after_control_recorded_it(self):
+        self.arrive(service="write", key="k")
+        self.pass_time(1.2)
+        self.assertEqual(self.actions(), [])
+        self.core.requests.abort_answered(1, Outcome("ok"), self.now_s)
+        (problem,) = self.actions()
+        self.assertEqual(problem.outcome, "not-run")
+
+    def test_silence_of_control_is_told_as_unknown(self):
+        self.arrive(service="write", key="k")
+        self.pass_time(3.0)
+        (problem,) = self.actions()
+        self.assertEqual((problem.status, problem.outcome), (503, "unknown"))
+
+    def test_known_key_is_replayed(self):
+        self.arrive(service="write", key="k")
+        (replay,) = self.grant(1, "replay", status=201, answer=b"label")
+        self.assertIsInstance(replay, Replay)
+        self.assertEqual((replay.status, replay.answer), (201, b"label"))
+
+    def test_key_of_another_request_is_refused(self):
+        self.arrive(service="write", key="k")
+        (problem,) = self.grant(1, "mismatch")
+        self.assertEqual(problem.status, 422)
+
+    def test_key_at_an_instance_without_settings_is_not_told_as_not_run(self):
+        (problem,) = self.arrive(service="unheard", key="k")
+        self.assertEqual(problem.outcome, "unknown")
+
+    def test_queue_is_bounded_by_deadline(self):
+        for number in range(1, 6):
+            for dispatch in self.arrive(number):
+                self.core.requests.may_write(dispatch.attempt_id, self.now_s)
+        self.pass_time(1.2)
+        late = [a for a in self.actions(Problem) if a.outcome == "not-run"]
+        self.assertEqual([problem.request_id for problem in late], [5])
+
+    def test_cancelled_work_keeps_its_slot_for_a_moment(self):
+        (dispatch,) = self.arrive()
+        self.core.requests.may_write(dispatch.attempt_id, self.now_s)
+        self.core.requests.caller_gone(1, self.now_s)
+        self.assertEqual(self.core.ctx.slots.count("read", FREE), 3)
+        self.pass_time(0.2)
+        self.assertEqual(self.core.ctx.slots.count("read", FREE), 4)
+
+
+class TestStanding(EntryCase):
+    def test_lapsed_lease_ends_new_work_unless_peers_vouch(self):
+        self.entries.append(entry_row("e2"))
+        self.renew()
+        self.pass_time(4.0, renew=False)
+        self.assertFalse(self.core.ctx.may_serve(self.now_s))
+        beat = PeerBeat("e2", "run", self.revision, 1, int(self.now_s * 1_000))
+        self.core.receive("e2", beat, self.now_s)
+        self.assertTrue(self.core.ctx.may_serve(self.now_s))
+        newer = attrs.evolve(beat, revision=self.revision + 1, sent_ms=2)
+        self.core.receive("e2", newer, self.now_s)
+        self.assertFalse(self.core.ctx.may_serve(self.now_s))
+
+    def test_old_beat_that_arrives_late_vouches_for_nothing(self):
+        self.entries.append(entry_row("e2"))
+        self.renew()
+        self.pass_time(4.0, renew=False)
+        echo_ms = int((self.now_s - 2) * 1_000)
+        beat = PeerBeat("e2", "run", self.revision, 1, echo_ms)
+        self.core.receive("e2", beat, self.now_s)
+        self.assertFalse(self.core.ctx.may_serve(self.now_s))
+
+
+class TestLeavingBackend(EntryCase):
+    def test_word_of_a_peer_ends_new_work_at_once(self):
+        beat = PeerBeat("e2", "run", self.revision, 1, leaving=("read-1",))
+        self.core.receive("e2", beat, self.now_s)
+        dispatches = [self.arrive(number) for number in (1, 2, 3)]
+        ids = [a.backend.backend_id for found in dispatches for a in found]
+        self.assertEqual(ids, ["read-2", "read-2"])
+
+    def test_coming_back_overtakes_an_old_word(self):
+        self.core.ctx.leaving["read-1"] = self.revision
+        self.backends[0] = backend_row(1, since_revision=self.revision + 1)
+        self.renew()
+        self.assertTrue(self.core.ctx.is_open("read-1"))
+
+
+class TestLoans(EntryCase):
+    def setUp(self):
+        super().setUp()
+        self.entries.append(entry_row("e2", "b", "z"))
+        self.renew()
+        self.pass_time(2.0)
+        self.core.take_actions()
+
+    def lend(self, count=1, loan_id=1):
+        sent_ms = int(self.now_s * 1_000)
+        request = LoanRequest(loan_id, "read", "a", count, sent_ms)
+        self.core.receive("e2", request, self.now_s)
+        (send,) = [a for a in self.core.take_actions() if isinstance(a.body, LoanReply)]
+        return send.body
+
+    def test_headroom_is_not_lent_to_another_region(self):
+        self.assertEqual(len(self.lend(10).slots), 3)
+
+    def test_lent_slots_come_back_only_after_lease_and_deadline(self):
+        self.lend(2)
+        self.pass_time(1.5)
+        self.assertEqual(self.core.ctx.slots.count("read", LENT), 2)
+        self.pass_time(1.0)
+        self.assertEqual(self.core.ctx.slots.count("read", LENT), 0)
+
+    def test_return_of_an_older_loan_changes_nothing(self):
+        reply = self.lend(1, loan_id=1)
+        slot = next(iter(self.core.ctx.slots.holdings))
+        self.core.ctx.slots.take_back(slot, "e2", 99, self.now_s)
+        self.assertEqual(self.core.ctx.slots.count("read", LENT), 1)
+        self.assertEqual(len(reply.slots), 1)
+
+    def test_second_copy_of_a_reply_gives_nothing_back(self):
+        self.entries[1] = entry_row("e2")
+        self.renew()
+        loans, now_s = self.core.loans, self.now_s
+        mark = PeerBeat("e2", "run", self.revision, 5, int(now_s * 1_000), {"read": 4})
+        self.core.receive("e2", mark, now_s)
+        loans.ask("read", "a", 1, now_s)
+        (request,) = [
+            a.body
+            for a in self.core.take_actions()
+            if isinstance(a, Send) and isinstance(a.body, LoanRequest)
+        ]
+        owned = {h.slot for h in self.core.ctx.slots.holdings.values()}
+        foreign = next(
+            (b, n)
+            for b, n in (("read-1", 0), ("read-1", 1), ("read-2", 0), ("read-2", 1))
+            if (b, n) not in {(s.backend_id, s.number) for s in owned}
+        )
+        reply = LoanReply(request.loan_id, "read", request.sent_ms, 1_000, (foreign,))
+        self.core.receive("e2", reply, now_s)
+        self.core.receive("e2", reply, now_s)
+        self.assertEqual(self.core.take_actions(), [])
+
+
+class TestSlots(EntryCase):
+    def test_lost_slot_settles_when_its_work_ends(self):
+        self.arrive()
+        before = self.core.ctx.slots.settled
+        self.entries.append(entry_row("e2"))
+        self.backends[0] = backend_row(1, leaving=True)
+        self.backends[1] = backend_row(2, leaving=True)
+        self.renew()
+        slots = self.core.ctx.slots
+        self.assertEqual(slots.settled, before)
+        (holding,) = [h for h in slots.holdings.values() if h.state == BUSY]
+        slots.release(holding.slot, self.now_s)
+        self.assertEqual(slots.settled, self.revision)
+
+
+class TestShares(unittest.TestCase):
+    def test_shifted_stays_under_the_cap_at_every_moment(self):
+        meter = ShareMeter(0.3)
+        for _ in range(1_000):
+            if meter.arrive({"b": 0.9}) is not None:
+                meter.shift()
+            self.assertLessEqual(meter.shifted, 0.3 * meter.total)
+        self.assertGreater(meter.shifted, 280)
+
+    def test_ramp_moves_at_its_speed_both_ways(self):
+        ramp = Ramp(0.1)
+        self.assertEqual(ramp.move(0.5, 0.0), 0.0)
+        self.assertAlmostEqual(ramp.move(0.5, 2.0), 0.2)
+        self.assertAlmostEqual(ramp.move(0.0, 3.0), 0.1)
+
+    def test_link_takes_no_more_than_its_rate(self):
+        meter = LinkMeter(1_000.0)
+        taken = 0
+        for step in range(1_000):
+            if meter.allows(100, step / 100):
+                meter.spend(100, step / 100)
+                taken += 100
+        self.assertLessEqual(taken, 10_000 + 250 + 100)
+
+
+class TestHealth(unittest.TestCase):
+    def test_ejection_has_a_ceiling(self):
+        rules = attrs.make_class(
+            "R", ["eject_failures", "eject_ceiling", "eject_s", "slow_start_s"]
+        )(1, 0.5, 5, 0)
+        view = attrs.make_class("V", ["backends"])([backend_row(i) for i in range(4)])
+        table = HealthTable()
+        table.adopt(view, lambda service: rules, 0.0)
+        for number in range(4):
+            table.fail(f"read-{number}", rules, 1.0)
+        usable = sum(table.is_usable(f"read-{i}", 1.0) for i in range(4))
+        self.assertEqual(usable, 2)
+
+    def test_far_slower_than_the_others_is_ejected(self):
+        rules = attrs.make_class(
+            "R", ["eject_failures", "eject_ceiling", "eject_s", "slow_start_s"]
+        )(5, 0.5, 5, 0)
+        view = attrs.make_class("V", ["backends"])([backend_row(i) for i in range(4)])
+        table = HealthTable()
+        table.adopt(view, lambda service: rules, 0.0)
+        for _ in range(10):
+            for number in range(4):
+                latency_s = 0.5 if number == 0 else 0.01
+                table.succeed(f"read-{number}", latency_s, rules, 1.0)
+        self.assertFalse(table.is_usable("read-0", 1.0))
+        self.assertTrue(table.is_usable("read-1", 1.0))
+
+
+class TestLookup(EntryCase):
+    def test_longest_block_wins(self):
+        table = BlockTable([("10.0.0.0/8", "x"), ("10.1.0.0/16", "z")])
+        found = [table.domain(f"10.{i}.0.1") for i in (0, 1, 2)]
+        self.assertEqual(found, ["x", "z", "x"])
+        self.assertIsNone(table.domain("11.0.0.1"))
+        self.assertIsNone(table.domain("9.255.255.255"))
+
+    def test_ipv6_and_the_ends_of_the_address_space(self):
+        table = BlockTable([("::/0", "x"), ("2001:db8::/32", "z"), ("0.0.0.0/0", "y")])
+        self.assertEqual(table.domain("2001:db8::1"), "z")
+        self.assertEqual(table.domain("ffff::1"), "x")
+        self.assertEqual(table.domain("255.255.255.255"), "y")
+        self.assertEqual(table.domain("::ffff:1.2.3.4"), "y")
+
+    def test_nearest_come_first_and_leaving_never(self):
+        self.entries += [
+            entry_row("e2", "a", "y"),
+            entry_row("e3", "b", "z"),
+            attrs.evolve(entry_row("e4"), leaving=True),
+        ]
+        self.renew()
+        answer = self.core.lookup("read", "10.0.0.1", self.now_s)
+        self.assertEqual([c.instance for c in answer.instances], ["e1", "e2", "e3"])
+        far = self.core.lookup("read", "10.1.0.1", self.now_s)
+        self.assertEqual(far.instances[0].instance, "e3")
+
+    def test_clients_spread_over_instances_equally_near(self):
+        self.entries += [entry_row(f"e{i}") for i in range(2, 5)]
+        self.renew()
+        first = [
+            self.core.lookup("read", f"10.0.0.{i}", self.now_s).instances[0].instance
+            for i in range(200)
+        ]
+        self.assertTrue(all(25 < first.count(f"e{i}") < 80 for i in range(1, 5)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_backend.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_backend.py
@@ -55,6 +55,7 @@
     running: set = attrs.Factory(set)
     queue: list = attrs.Factory(list)
     runs: dict = attrs.Factory(dict)
+    run_at_s: dict = attrs.Factory(dict)
     over_slots: int = 0
     peak: int = 0
     cut_runs: int = 0
@@ -83,6 +84,11 @@
             self.queue.remove(run)
         self._fill()
 
+    def take_answer(self, answer):
+        """Take the answer to an announcement."""
+        if self.state != "gone":
+            self.state = answer.state
+
     def leave(self):
         """Ask to be drained."""
         self.leaving = True
@@ -106,6 +112,7 @@
             self.running.add(run)
             if run.key:
                 self.runs[run.key] = self.runs.get(run.key, 0) + 1
+                self.run_at_s.setdefault(run.key, self.scheduler.now_s)
             self.scheduler.after(self._run_s(), self._end, run)
 
     def _run_s(self):
--- /dev/null
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -0,0 +1,48 @@
+"""Fakes of TCP streams for driving the HTTP code without sockets."""
+
+__all__ = ["FakeHub", "FakeStream"]
+
+
+class FakeStream:
+    """A stream that keeps what is written."""
+
+    def __init__(self, *, connecting=False):
+        self.sent = bytearray()
+        self.is_open = True
+        self.is_connecting = connecting
+        self.is_congested = False
+        self.on_data = self.on_closed = self.on_connected = self.on_drained = None
+
+    def write(self, data):
+        self.sent += data
+
+    def connect(self):
+        """Let the connection open."""
+        self.is_connecting = False
+        self.on_connected()
+
+    def close(self):
+        self.abort()
+
+    def abort(self):
+        if self.is_open:
+            self.is_open = False
+            if self.on_closed is not None:
+                self.on_closed()
+
+    def pause(self):
+        pass
+
+    def resume(self):
+        pass
+
+
+class FakeHub:
+    """Makes fake streams."""
+
+    def __init__(self):
+        self.streams = []
+
+    def connect(self, address):
+        self.streams.append(FakeStream(connecting=True))
+        return self.streams[-1]
--- a/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
@@ -3,7 +3,6 @@
 import collections
 
 import attrs
-
 from snipebay_model.messages import ApplySettings
 from snipebay_model.view import BackendRow, EntryRow
 from snipebay_policy.context import EntryConfig
@@ -17,6 +16,7 @@
     RequestInfo,
     Send,
 )
+
 from snipebay_testbed.control_rig import ControlRig
 from snipebay_testbed.fake_backend import FakeBackend, FakeRun
 
@@ -72,6 +72,7 @@
         self._calls = {}
         self._open = {}
         self._warm = {}
+        self._crossed = set()
         self._run = 0
 
     @property
@@ -223,6 +224,11 @@
             lambda run: self._later(call, self._shed),
         )
         delay_s = self.rig.link_s(self.row.domain, call.backend.row.domain)
+        if call.backend.row.region != self.row.region:
+            place = (self.row.region, call.backend.row.service)
+            if call.request_id not in self._crossed:
+                self._crossed.add(call.request_id)
+                self.rig.crossed[place] += 1
         self.rig.scheduler.after(delay_s, self._arrive, call)
 
     def _arrive(self, call):
@@ -293,6 +299,7 @@
         self.network.delay_s = self._message_s
         self.connect_s = deployment.connect_ms / 1_000
         self.results = []
+        self.crossed = collections.Counter()
         self._region = dict(deployment.domains)
         self._place = {
             f"c{i + 1}": deployment.domains[2 * i % len(deployment.domains)][0]
@@ -428,7 +435,7 @@
             hosts = list(self.entries.values())
             host = hosts[int(self.rng.integers(len(hosts)))]
             row = attrs.evolve(backend.row, leaving=backend.leaving)
-            host.announce(row, lambda answer: setattr(backend, "state", answer.state))
+            host.announce(row, backend.take_answer)
         pause_s = 0.1 if backend.state in ("draining", "joining") else ANNOUNCE_S
         self.scheduler.after(pause_s, self._announce, backend)
 
