--- a/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
@@ -285,11 +285,20 @@
         controls: Number of control instances.
         settings: Settings tree, by default the deployment's.
         sigma: Spread of run times.
+        host_class: Class of the entry instances.
         **network: Further arguments of the fake network.
     """
 
     def __init__(
-        self, deployment, seed, *, controls=3, settings=None, sigma=0.3, **network
+        self,
+        deployment,
+        seed,
+        *,
+        controls=3,
+        settings=None,
+        sigma=0.3,
+        host_class=EntryHost,
+        **network,
     ):
         self.deployment = deployment
         self.control = ControlRig(seed, controls, **network)
@@ -316,7 +325,7 @@
             address = f"127.0.0.1:{21_000 + 3 * i}"
             row = EntryRow(entry_id, "", address, address, region, domain)
             self._place[entry_id] = domain
-            self.entries[entry_id] = EntryHost(self, row)
+            self.entries[entry_id] = host_class(self, row)
         for spec in deployment.backends(30_000):
             row = BackendRow(
                 spec.backend_id,
