Loans: ask all peers of the region, who answer when a slot falls free

Cause: at 80 % load requests waited at one instance while slots stood free at another: 694 loan requests for 13679 requests; slots lent stayed idle up to 150 ms, more than three run times, before they went back. Ruled out: load between regions (norte and centro at 79 % waited as long), double use of slots (none). Change: a request for slots waits at every peer of the region until one falls free; borrowed slots go back as soon as nothing waits. What is left in sur is load between regions (89 %).

--- a/packages/snipebay-policy/src/snipebay_policy/loans.py
+++ b/packages/snipebay-policy/src/snipebay_policy/loans.py
@@ -31,6 +31,14 @@
     most: int = 8
 
 
+@attrs.define
+class _Wish:
+    """A request for slots that found none free."""
+
+    msg: LoanRequest
+    until_s: float
+
+
 @attrs.define
 class _Asked:
     """A loan request that has no answer yet."""
@@ -53,40 +61,66 @@
         self.ctx = ctx
         self.timing = timing or LoanTiming()
         self._asked = {}
+        self._wishes = {}
         self._ids = itertools.count(first_id)
         self._turn = itertools.count()
 
     def ask(self, service, region, count, now_s):
-        """Ask an entry instance of a region for slots, one request at a time."""
-        asked = self._asked.get((service, region))
-        if asked is not None and now_s - asked.at_s < self.timing.ask_again_s:
-            return
+        """Ask entry instances of a region for slots.
+
+        In our own region all are asked at once, and each answers as soon as it
+        has a slot free: the first ones serve, the rest goes straight back. Far
+        away one is asked at a time, since a slot is idle on its way there.
+        """
         count = min(count, self.timing.most)
-        lender = self._lender(service, region, count, now_s)
-        if lender is None:
-            return
-        loan_id = next(self._ids)
-        self._asked[service, region] = _Asked(loan_id, lender, now_s)
-        request = LoanRequest(loan_id, service, region, count, int(now_s * 1_000))
-        self.ctx.act(Send(lender, request))
+        for lender in self._lenders(service, region, now_s):
+            asked = self._asked.get((service, region, lender))
+            if asked is not None and now_s - asked.at_s < self.timing.ask_again_s:
+                continue
+            loan_id = next(self._ids)
+            self._asked[service, region, lender] = _Asked(loan_id, lender, now_s)
+            request = LoanRequest(loan_id, service, region, count, int(now_s * 1_000))
+            self.ctx.act(Send(lender, request))
 
     def on_request(self, sender, msg, now_s):
-        """Lend free slots, but none that our own requests or headroom need."""
-        holdings = []
-        if self.ctx.may_serve(now_s) and msg.service in self.ctx.settings.services:
-            holdings = self._lendable(msg, sender, now_s)[: msg.count]
-        deadline_s = self.ctx.rules(msg.service).deadline_ms / 1_000 if holdings else 0
+        """Lend free slots, or remember the request until one is free."""
+        if msg.service not in self.ctx.settings.services:
+            return
+        if not self._lend(sender, msg, now_s):
+            until_s = now_s + self.timing.ask_again_s
+            wishes = self._wishes.setdefault(msg.service, {})
+            wishes[sender] = _Wish(msg, until_s)
+
+    def offer(self, service, now_s):
+        """Give back and lend what our own requests leave free."""
+        if self.ctx.waiting_count(service):
+            return
+        returns = {}
+        for holding in self.ctx.slots.free(service, self.ctx.region, now_s):
+            if holding.lender:
+                self._collect(returns, holding)
+        self._send(returns)
+        wishes = self._wishes.get(service, {})
+        for sender, wish in list(wishes.items()):
+            if now_s >= wish.until_s or self._lend(sender, wish.msg, now_s):
+                del wishes[sender]
+
+    def _lend(self, sender, msg, now_s):
+        """Return True after lending free slots that we can spare."""
+        if not self.ctx.may_serve(now_s):
+            return False
+        holdings = self._lendable(msg, sender, now_s)[: msg.count]
+        if not holdings:
+            return False
+        deadline_s = self.ctx.rules(msg.service).deadline_ms / 1_000
+        until_s = now_s + self.timing.lease_s + deadline_s
         for holding in holdings:
-            until_s = now_s + self.timing.lease_s + deadline_s
             self.ctx.slots.lend(holding, sender, msg.loan_id, until_s)
-        reply = LoanReply(
-            msg.loan_id,
-            msg.service,
-            msg.sent_ms,
-            int(self.timing.lease_s * 1_000),
-            tuple((h.slot.backend_id, h.slot.number) for h in holdings),
-        )
+        slots = tuple((h.slot.backend_id, h.slot.number) for h in holdings)
+        lease_ms = int(self.timing.lease_s * 1_000)
+        reply = LoanReply(msg.loan_id, msg.service, msg.sent_ms, lease_ms, slots)
         self.ctx.act(Send(sender, reply))
+        return True
 
     def on_reply(self, sender, msg, now_s):
         """Take lent slots into use, or give them back when they come too late."""
@@ -168,28 +202,21 @@
         free.sort(key=lambda h: (h.since_s, h.slot))
         return free[: max(0, len(free) - keep)]
 
-    def _lender(self, service, region, count, now_s):
-        """Return the instance to ask, by its last beat or in turn, or None."""
+    def _lenders(self, service, region, now_s):
+        """Return the instances to ask for slots."""
         rows = [
-            row
+            row.entry_id
             for row in self.ctx.view.entries
             if row.region == region and row.entry_id != self.ctx.entry_id
         ]
         if region == self.ctx.region:
-            marks = self.ctx.standing.peers
-            known = [
-                (marks[row.entry_id].free.get(service, 0), row.entry_id)
-                for row in rows
-                if self.ctx.standing.is_fresh(row.entry_id, now_s)
-            ]
-            free, lender = max(known, default=(0, None))
-            if free:
-                # Until its next beat we count what we ask for as gone.
-                marks[lender].free[service] = max(0, free - count)
-            return lender if free else None
-        if not rows:
-            return None
-        return rows[next(self._turn) % len(rows)].entry_id
+            return [i for i in rows if self.ctx.standing.is_fresh(i, now_s)]
+        waits = any(
+            now_s - asked.at_s < self.timing.ask_again_s
+            for place, asked in self._asked.items()
+            if place[:2] == (service, region)
+        )
+        return [] if waits or not rows else [rows[next(self._turn) % len(rows)]]
 
     def _collect(self, returns, holding):
         slot = (holding.slot.backend_id, holding.slot.number)
--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -219,7 +219,10 @@
     def pump(self, service, now_s):
         """Give free slots to waiting requests, urgent and early ones first."""
         waiting = self.ctx.waiting.get(service)
-        if not waiting or not self.ctx.may_serve(now_s):
+        if not waiting:
+            self.loans.offer(service, now_s)
+            return
+        if not self.ctx.may_serve(now_s):
             return
         lacking = {}
         full = set()
@@ -232,6 +235,7 @@
                 lacking[wanted] = lacking.get(wanted, 0) + 1
         for region, count in sorted(lacking.items()):
             self.loans.ask(service, region, count, now_s)
+        self.loans.offer(service, now_s)
 
     # --- placing ----------------------------------------------------------
 
