--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -96,6 +96,8 @@
         self._joining = {}
         self._hellos = {}
         self._pushed = {}
+        self._floors = {}
+        self._drained = ()
         self._checked_settings = 0
         self._next_hello_s = now_s
         self._next_reap_s = 0.0
@@ -134,6 +136,9 @@
             return
         if self._led_term != self.raft.term:
             self._begin_leadership()
+        # Worked out once a tick: both only grow, so a little late is safe.
+        self._floors = {}
+        self._drained = self.sessions.drained(self.state, now_s)
         self._read_leases()
         self._expire()
         self._move_clock()
@@ -229,6 +234,8 @@
         self._pending.clear()
         self._joining.clear()
         self._pushed.clear()
+        self._floors = {}
+        self._drained = ()
         self._next_reap_s = 0.0
         self.sessions.start(self.state, self._now_s)
 
@@ -322,12 +329,18 @@
             granted=granted,
             sent_ms=sent_ms,
             lease_ms=int(self.cfg.leases.entry_lease_s * 1_000),
-            settled_floor=self.sessions.settled(self.state, region),
+            settled_floor=self._settled(region),
             quorum_revision=self.state.revision,
             delta=self.state.delta(base),
-            drained=self.sessions.drained(self.state, self._now_s),
+            drained=self._drained,
         )
 
+    def _settled(self, region):
+        """Return a region's settled revision as of this tick."""
+        if region not in self._floors:
+            self._floors[region] = self.sessions.settled(self.state, region)
+        return self._floors[region]
+
     def _on_command(self, sender, msg):
         outcome = self._refusal(msg)
         if outcome is None:
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -368,7 +368,6 @@
         revision: View revision in force at the sender.
         sent_ms: Sender's clock.
         echo_ms: Newest ``sent_ms`` that the sender had from the receiver.
-        free: Slots that the sender could lend, by service.
         leaving: Backend servers that told the sender that they leave.
     """
 
@@ -377,7 +376,6 @@
     revision: int
     sent_ms: int
     echo_ms: int = 0
-    free: dict[str, int] = attrs.Factory(dict)
     leaving: tuple[str, ...] = ()
 
 
--- a/packages/snipebay-policy/src/snipebay_policy/context.py
+++ b/packages/snipebay-policy/src/snipebay_policy/context.py
@@ -11,7 +11,7 @@
 
 from snipebay_policy.budget import RetryBudget
 from snipebay_policy.health import HealthTable
-from snipebay_policy.lookup import BlockTable
+from snipebay_policy.lookup import BlockTable, EntryRanking
 from snipebay_policy.shares import LinkMeter, Ramp, ShareMeter
 from snipebay_policy.slots import SlotTable
 from snipebay_policy.standing import Standing
@@ -54,9 +54,10 @@
         self.view = View()
         self.settings = Settings(regions={})
         self.blocks = BlockTable([])
+        self.ranking = EntryRanking(self.view, self.settings)
         self.backends = {}
         self.health = HealthTable()
-        self.slots = SlotTable(self.entry_id, cfg.takeover_s)
+        self.slots = SlotTable(self.entry_id, self.region, cfg.takeover_s)
         self.standing = Standing(self.entry_id, self.region, cfg.peer_fresh_s)
         self.counts = collections.Counter()
         self.waiting = {}
@@ -88,6 +89,7 @@
         if view.settings_revision != self.view.settings_revision:
             self._adopt_settings(view.settings)
         self.view = view
+        self.ranking = EntryRanking(view, self.settings)
         self.backends = {row.backend_id: row for row in view.backends}
         self.health.adopt(view, self.rules, now_s)
         self.slots.adopt(view, now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/deal.py
+++ b/packages/snipebay-policy/src/snipebay_policy/deal.py
@@ -22,8 +22,8 @@
     number: int
 
 
-def deal_slots(view):
-    """Return the owner of each slot that has one.
+def deal_slots(view, region):
+    """Return the owner of each slot in a region.
 
     Slots go to entry instances of the backend server's own region: these keep
     them while cut off from control together with it. A region without entry
@@ -31,18 +31,22 @@
 
     Args:
         view: The view to deal by.
+        region: The region.
     """
+    entries = {
+        row.entry_id: row.domain
+        for row in view.entries
+        if row.region == region and not row.leaving
+    }
+    if not entries:
+        return {}
+    rows = sorted(
+        (row for row in view.backends if row.is_open and row.region == region),
+        key=lambda row: row.service,
+    )
     owners = {}
-    key = lambda row: (row.service, row.region)  # noqa: E731
-    rows = sorted((row for row in view.backends if row.is_open), key=key)
-    for (_, region), group in itertools.groupby(rows, key):
-        entries = {
-            row.entry_id: row.domain
-            for row in view.entries
-            if row.region == region and not row.leaving
-        }
-        if entries:
-            owners.update(_deal_group(list(group), entries))
+    for _, group in itertools.groupby(rows, lambda row: row.service):
+        owners.update(_deal_group(list(group), entries))
     return owners
 
 
--- a/packages/snipebay-policy/src/snipebay_policy/entry.py
+++ b/packages/snipebay-policy/src/snipebay_policy/entry.py
@@ -3,12 +3,13 @@
 import attrs
 from snipebay_model import messages
 from snipebay_model.messages import PeerBeat, Renew
+from snipebay_model.units import LOOKUP_TTL_S
 
 from snipebay_policy.announcements import AnnouncementSystem
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.context import EntryContext
 from snipebay_policy.loans import LoanSystem
-from snipebay_policy.lookup import answer_lookup
+from snipebay_policy.lookup import LookupAnswer
 from snipebay_policy.requests import RequestSystem
 from snipebay_policy.work import Send
 
@@ -99,14 +100,10 @@
             if row.entry_id in self.ctx.standing.peers
             and not self.ctx.standing.is_fresh(row.entry_id, now_s)
         ]
-        return answer_lookup(
-            self.ctx.view,
-            self.ctx.settings,
-            self.ctx.blocks,
-            service,
-            client,
-            suspected=suspected,
-        )
+        domain = self.ctx.blocks.domain(client)
+        instances = self.ctx.ranking.best(domain, client, suspected)
+        revision = self.ctx.view.revision
+        return LookupAnswer(service, client, revision, LOOKUP_TTL_S, instances)
 
     def take_actions(self):
         """Return what the adapter has to do."""
@@ -166,7 +163,6 @@
 
     def _beat(self, now_s):
         self._next_beat_s = now_s + self.cfg.beat_s
-        free = self.loans.free_to_lend(now_s)
         leaving = tuple(sorted(self.ctx.leaving))
         for row in self.ctx.standing.region_peers(self.ctx.view):
             beat = PeerBeat(
@@ -175,7 +171,6 @@
                 self.ctx.view.revision,
                 int(now_s * 1_000),
                 self.ctx.standing.echo_for(row.entry_id),
-                free,
                 leaving,
             )
             self.ctx.act(Send(row.entry_id, beat))
--- a/packages/snipebay-policy/src/snipebay_policy/loans.py
+++ b/packages/snipebay-policy/src/snipebay_policy/loans.py
@@ -173,18 +173,6 @@
         self._collect(returns, holding)
         self._send(returns)
 
-    def free_to_lend(self, now_s):
-        """Return the number of free slots by service, for our beats."""
-        counts = {}
-        for holding in self.ctx.slots.holdings.values():
-            if holding.state == FREE and not holding.lender:
-                counts[holding.service] = counts.get(holding.service, 0) + 1
-        return {
-            service: count
-            for service, count in counts.items()
-            if not self.ctx.waiting_count(service)
-        }
-
     def _lendable(self, msg, sender, now_s):
         """Return free slots that may be lent, the ones used longest ago first."""
         free = [
--- a/packages/snipebay-policy/src/snipebay_policy/lookup.py
+++ b/packages/snipebay-policy/src/snipebay_policy/lookup.py
@@ -6,14 +6,12 @@
 
 import attrs
 import numpy as np
-from snipebay_model.units import LOOKUP_TTL_S
 
 __all__ = [
     "BlockTable",
     "Candidate",
+    "EntryRanking",
     "LookupAnswer",
-    "answer_lookup",
-    "rank_entries",
 ]
 
 ANSWER_ENTRIES = 3
@@ -144,45 +142,62 @@
     instances: tuple[Candidate, ...]
 
 
-def rank_entries(view, settings, domain, client, *, suspected=()):
-    """Return the entry instances that a client should use, best first.
+class EntryRanking:
+    """Entry instances by distance from each failure domain, at one view.
 
-    Instances as near as the nearest are put in an order of the client's own,
-    so that clients spread over them and none is stampeded.
+    Distances change only with the view, so they are sorted once for each
+    failure domain, and a look-up takes the first few.
 
     Args:
         view: View in force.
         settings: Its settings tree.
-        domain: Failure domain nearest to the client, or None.
-        client: Client address.
-        suspected: Ids of instances that have fallen silent, ranked last.
     """
-    region = settings.domains.get(domain)
-
-    def distance_ms(row):
-        if row.domain == domain:
-            return 0.0
-        if row.region == region:
-            return 1.0
-        return settings.link(region, row.region).delay_ms if region else 1.0
-
-    rows = [row for row in view.entries if not row.leaving]
-    ranked = sorted(
-        rows,
-        key=lambda row: (
-            row.entry_id in suspected,
-            distance_ms(row),
-            hashlib.blake2b(f"{client}/{row.entry_id}".encode()).digest(),
-        ),
-    )
-    return tuple(
-        Candidate(row.entry_id, row.address, row.region, row.domain, 1 << (2 - i))
-        for i, row in enumerate(itertools.islice(ranked, ANSWER_ENTRIES))
-    )
 
+    def __init__(self, view, settings):
+        self._rows = [row for row in view.entries if not row.leaving]
+        self._settings = settings
+        self._groups = {}
+
+    def best(self, domain, client, suspected=()):
+        """Return the instances that a client should use, best first.
+
+        Among equally near ones each client starts at a place of its own, so
+        that clients spread over them and none is stampeded.
+
+        Args:
+            domain: Failure domain nearest to the client, or None.
+            client: Client address.
+            suspected: Ids of instances that have fallen silent, taken last.
+        """
+        if domain not in self._groups:
+            self._groups[domain] = self._group(domain)
+        start = int.from_bytes(hashlib.blake2b(client.encode(), digest_size=4).digest())
+        # Silent instances may stand in front, so as many more are looked at.
+        wanted = ANSWER_ENTRIES + len(suspected)
+        rows = list(itertools.islice(self._from(domain, start), wanted))
+        if suspected:
+            rows.sort(key=lambda row: row.entry_id in suspected)
+        return tuple(
+            Candidate(row.entry_id, row.address, row.region, row.domain, 1 << (2 - i))
+            for i, row in enumerate(rows[:ANSWER_ENTRIES])
+        )
 
-def answer_lookup(view, settings, table, service, client, *, suspected=()):
-    """Return the answer for one client address."""
-    domain = table.domain(client)
-    instances = rank_entries(view, settings, domain, client, suspected=suspected)
-    return LookupAnswer(service, client, view.revision, LOOKUP_TTL_S, instances)
+    def _from(self, domain, start):
+        """Yield instances by distance, each group from a place on."""
+        for group in self._groups[domain]:
+            for i in range(len(group)):
+                yield group[(start + i) % len(group)]
+
+    def _group(self, domain):
+        """Return lists of instances that are equally far, nearest first."""
+        region = self._settings.domains.get(domain)
+
+        def distance_ms(row):
+            if row.domain == domain:
+                return 0.0
+            if row.region == region or region is None:
+                return 1.0
+            return self._settings.link(region, row.region).delay_ms
+
+        ranked = sorted(self._rows, key=lambda row: (distance_ms(row), row.entry_id))
+        return [list(group) for _, group in itertools.groupby(ranked, distance_ms)]
--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -22,7 +22,7 @@
 
 ABORT_PATIENCE_S = 1.0
 NEAR_CANCEL_S = 0.02
-SPILL_SHARE = 0.25
+SPILL_TRIPS = 1.0
 
 
 class RequestSystem:
@@ -268,18 +268,28 @@
             served: Regions with usable backend servers, nearest first.
             now_s: Time.
         """
-        patience_s = (row.deadline_s - row.arrived_s) * SPILL_SHARE
+        home = self.ctx.region
         waited_s = now_s - row.arrived_s
-        if row.region != self.ctx.region:
+        if row.region != home:
             # A shift that finds no slot there is served at home.
-            return row.region if waited_s < patience_s else self.ctx.region
-        if row.region in served and waited_s < patience_s:
-            return row.region
-        others = [region for region in served if region != self.ctx.region]
+            is_patient = waited_s < self._patience_s(row.region)
+            return row.region if is_patient else home
+        others = [region for region in served if region != home]
         if not others or not self._may_cross(row):
-            return row.region
+            return home
+        if home in served and waited_s < self._patience_s(others[0]):
+            return home
         return others[0]
 
+    def _patience_s(self, region):
+        """Return the wait after which a way to another region is worth it."""
+        return (
+            SPILL_TRIPS
+            * 2
+            * self.ctx.settings.link(self.ctx.region, region).delay_ms
+            / 1_000
+        )
+
     def _served_regions(self, service, now_s):
         """Return the regions with usable backend servers, nearest first."""
         regions = {
--- a/packages/snipebay-policy/src/snipebay_policy/slots.py
+++ b/packages/snipebay-policy/src/snipebay_policy/slots.py
@@ -52,6 +52,7 @@
 
     Attributes:
         entry_id: Our instance id.
+        region: Our region.
         takeover_s: Time after which a former owner that was cut off from us
             has stopped using a slot.
         holdings: Holding by slot.
@@ -59,6 +60,7 @@
     """
 
     entry_id: str
+    region: str
     takeover_s: float
     holdings: dict = attrs.Factory(dict)
     applied: int = 0
@@ -79,12 +81,13 @@
         self._settled = self.settled
         self.applied = view.revision
         self._rows = {row.backend_id: row for row in view.backends}
-        owners = deal_slots(view)
+        owners = deal_slots(view, self.region)
+        lenders = {row.entry_id for row in view.entries if not row.leaving}
         mine = {slot for slot, owner in owners.items() if owner == self.entry_id}
         self._mine = mine
         for slot, holding in list(self.holdings.items()):
             if holding.lender:
-                self._adopt_borrowed(holding, owners)
+                self._adopt_borrowed(holding, owners, lenders)
             elif slot not in mine:
                 self._lose(holding)
             else:
@@ -217,9 +220,11 @@
         else:
             holding.is_lost = True
 
-    def _adopt_borrowed(self, holding, owners):
+    def _adopt_borrowed(self, holding, owners, lenders):
         """Give a borrowed slot up when its backend server closed or it is ours."""
         row = self._rows.get(holding.slot.backend_id)
         is_open = row is not None and row.is_open
-        if not is_open or owners.get(holding.slot) != holding.lender:
+        # Slots of other regions are dealt there; the loan ends them in any case.
+        owner = owners.get(holding.slot, holding.lender)
+        if not is_open or owner != holding.lender or holding.lender not in lenders:
             self._lose(holding)
--- a/packages/snipebay-policy/src/snipebay_policy/standing.py
+++ b/packages/snipebay-policy/src/snipebay_policy/standing.py
@@ -18,7 +18,6 @@
     revision: int
     sent_ms: int
     echo_ms: int
-    free: dict
 
 
 @attrs.define
@@ -51,7 +50,7 @@
             known.incarnation,
         ):
             self.peers[beat.entry_id] = _PeerMark(
-                beat.incarnation, beat.revision, beat.sent_ms, beat.echo_ms, beat.free
+                beat.incarnation, beat.revision, beat.sent_ms, beat.echo_ms
             )
 
     def echo_for(self, entry_id):
--- a/packages/snipebay-policy/tests/test_entry_core.py
+++ b/packages/snipebay-policy/tests/test_entry_core.py
@@ -245,7 +245,7 @@
         self.entries[1] = entry_row("e2")
         self.renew()
         loans, now_s = self.core.loans, self.now_s
-        mark = PeerBeat("e2", "run", self.revision, 5, int(now_s * 1_000), {"read": 4})
+        mark = PeerBeat("e2", "run", self.revision, 5, int(now_s * 1_000))
         self.core.receive("e2", mark, now_s)
         loans.ask("read", "a", 1, now_s)
         (request,) = [
@@ -260,8 +260,8 @@
             if (b, n) not in {(s.backend_id, s.number) for s in owned}
         )
         reply = LoanReply(request.loan_id, "read", request.sent_ms, 1_000, (foreign,))
-        self.core.receive("e2", reply, now_s)
-        self.core.receive("e2", reply, now_s)
+        loans.on_reply("e2", reply, now_s)
+        loans.on_reply("e2", reply, now_s)
         self.assertEqual(self.core.take_actions(), [])
 
 
--- /dev/null
+++ b/packages/snipebay-testbed/src/snipebay_testbed/capacity.py
@@ -0,0 +1,333 @@
+"""Measures the slopes behind docs/CAPACITY.md and rewrites its tables."""
+
+import itertools
+import pathlib
+import subprocess
+import sys
+import time
+import tracemalloc
+
+import attrs
+import cyclopts
+import numpy as np
+from snipebay_control.raft import Ready
+from snipebay_control.state import ControlState
+from snipebay_model.codec import Envelope, decode, encode, encode_body
+from snipebay_model.messages import Claim, Finish, PeerBeat, PutBackend, Renew
+from snipebay_model.settings import parse_settings
+from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
+from snipebay_node.storage import Storage
+from snipebay_policy.context import EntryConfig
+from snipebay_policy.deal import deal_slots
+from snipebay_policy.entry import EntryCore
+from snipebay_policy.lookup import BlockTable, EntryRanking
+
+from snipebay_testbed.control_rig import ControlRig
+
+__all__ = ["Slope", "main"]
+
+PAGE = pathlib.Path("docs/CAPACITY.md")
+START, END = "<!-- measured -->", "<!-- end -->"
+NODES, BLOCKS, SITES, DOMAINS, REGIONS = 440, 4_900_000, 110, 18, 8
+LOOKUPS_PER_NODE_S = 460_000 / NODES
+CHANGES_PER_DAY = 400
+app = cyclopts.App(help=__doc__)
+
+
+@attrs.frozen
+class Slope:
+    """One quantity measured at several sizes.
+
+    Attributes:
+        name: What was measured.
+        against: What the size counts.
+        points: Pairs of size and value.
+        unit: Unit of the value.
+        target: Size to work it out for.
+    """
+
+    name: str
+    against: str
+    points: tuple
+    unit: str
+    target: float
+
+    @property
+    def line(self):
+        """Slope and offset of the line through the points."""
+        sizes, values = zip(*self.points, strict=True)
+        slope, offset = np.polyfit(sizes, values, 1)
+        return float(slope), float(offset)
+
+    @property
+    def at_target(self):
+        """Value at the target size by the line."""
+        slope, offset = self.line
+        return slope * self.target + offset
+
+
+def _seconds(callback, times=1):
+    """Return the least processor seconds of one call in three rounds."""
+    best = float("inf")
+    for _ in range(3):
+        start_s = time.process_time()
+        for _ in range(times):
+            callback()
+        best = min(best, (time.process_time() - start_s) / times)
+    return best
+
+
+def _memory(make):
+    """Return the bytes that a made object keeps."""
+    tracemalloc.start()
+    kept = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def _entry_row(i):
+    region = f"region-{i % REGIONS}"
+    domain = f"domain-{i % DOMAINS}"
+    return EntryRow(
+        f"entry-{i:04}",
+        "0123456789ab",
+        "127.0.0.1:8080",
+        "127.0.0.1:8081",
+        region,
+        domain,
+    )
+
+
+def _backend_row(i):
+    region, domain = f"region-{i % REGIONS}", f"domain-{i % DOMAINS}"
+    return BackendRow(
+        f"backend-{i:05}", f"service-{i % 3}", "127.0.0.1:9000", region, domain, 6
+    )
+
+
+def _blocks(count):
+    """Return a table of client blocks as it would be built from prefixes."""
+    rng = np.random.default_rng(1)
+    starts = np.unique(rng.integers(0, 1 << 32, count, dtype=np.uint32))
+    numbers = rng.integers(0, SITES, len(starts)).astype(np.uint16)
+    return BlockTable.from_arrays(starts, numbers, [f"site-{i}" for i in range(SITES)])
+
+
+def _view(entries, backends):
+    return View(
+        1,
+        1,
+        "",
+        tuple(_backend_row(i) for i in range(backends)),
+        tuple(_entry_row(i) for i in range(entries)),
+    )
+
+
+# --- measurements ---------------------------------------------------------
+
+
+def measure_lookup():
+    """Yield slopes of the look-up."""
+    sizes = (100_000, 1_000_000, BLOCKS)
+    tables = {size: _blocks(size) for size in sizes}
+    turn = itertools.cycle(f"{i * 37 % 224}.{i % 251}.9.1" for i in range(997))
+    yield Slope(
+        "block table, memory",
+        "blocks",
+        tuple((s, tables[s].nbytes / 1e6) for s in sizes),
+        "MB",
+        BLOCKS,
+    )
+    yield Slope(
+        "block table, one search",
+        "blocks",
+        tuple(
+            (s, 1e6 * _seconds(lambda t=tables[s]: t.domain(next(turn)), 5_000))
+            for s in sizes
+        ),
+        "µs",
+        BLOCKS,
+    )
+    tree = parse_settings("regions: {a: {domains: [x]}}\nservices: {s: }\n").unwrap()
+    points = []
+    for size in (12, 110, NODES):
+        view = _view(size, 0)
+        ranking = EntryRanking(view, tree)
+        cost = _seconds(lambda r=ranking: r.best("x", next(turn)), 500)
+        points.append((size, 1e6 * cost))
+    yield Slope("look-up, ranking", "entry instances", tuple(points), "µs", NODES)
+
+
+def measure_view():
+    """Yield slopes of the view at an entry instance."""
+    sizes = (12, 110, NODES)
+    points = [(n, len(encode(Envelope("c", _delta(_view(n, n))))) / 1e3) for n in sizes]
+    yield Slope("whole view, message", "entries = backends", tuple(points), "kB", NODES)
+    points = [(n, _memory(lambda n=n: _view(n, n)) / 1e6) for n in sizes]
+    yield Slope("whole view, memory", "entries = backends", tuple(points), "MB", NODES)
+    points = [
+        (n, 1e3 * _seconds(lambda n=n: deal_slots(_view(n, n), "region-0")))
+        for n in sizes
+    ]
+    yield Slope(
+        "dealing a region's slots", "entries = backends", tuple(points), "ms", NODES
+    )
+
+
+def _delta(view):
+    from snipebay_model.messages import RenewReply
+
+    delta = ViewDelta(0, 1, True, "", 1, view.backends, (), view.entries)
+    return RenewReply("c1", True, 0, 3_000, 1, 1, delta)
+
+
+def measure_control():
+    """Yield slopes of the leader's work."""
+    points, sizes = [], (12, 110, NODES)
+    for count in sizes:
+        rig = ControlRig(1, 5)
+        core = rig.elect().core
+        for i in range(count):
+            core.state._put_entry(attrs.make_class("P", ["row"])(_entry_row(i)))
+        now_s = rig.scheduler.now_s
+        frames = [
+            encode(Envelope(row.entry_id, Renew(row, 1, core.state.revision, 1)))
+            for row in core.state.entries.values()
+        ]
+
+        def renew_all(core=core, frames=frames, now_s=now_s):
+            for frame in frames:
+                envelope = decode(frame)
+                core.receive(envelope.sender, envelope.body, now_s)
+            for _, body in core.take_messages():
+                encode(Envelope("c1", body))
+
+        points.append((count, 1e3 * _seconds(renew_all)))
+    yield Slope(
+        "leader, one renewal of all", "entry instances", tuple(points), "ms", NODES
+    )
+    points = []
+    for count in (1_000, 10_000, 40_000):
+        points.append((count, _memory(lambda n=count: _claims(n)) / 1e6))
+    yield Slope("idempotency keys, memory", "keys", tuple(points), "MB", 40_000)
+    points = [(n, 1e3 * _seconds(_claims(n).dump)) for n in (1_000, 10_000, 40_000)]
+    yield Slope("snapshot, encoding", "keys", tuple(points), "ms", 40_000)
+
+
+def _claims(count):
+    """Return a state that remembers finished keys with answers of 200 bytes."""
+    state = ControlState()
+    for i in range(count):
+        claim = Claim("s", f"key-{i}", "0" * 32, f"e/{i}", "entry", 86_400_000)
+        state.apply(*encode_body(claim))
+        finish = Finish("s", f"key-{i}", f"e/{i}", 200, "text/plain", b"x" * 200)
+        state.apply(*encode_body(finish))
+    return state
+
+
+def measure_beats():
+    """Yield slopes of the beats between entry instances of one region."""
+    points = []
+    for peers in (3, 14, NODES // REGIONS):
+        rows = [attrs.evolve(_entry_row(i), region="r") for i in range(peers + 1)]
+        core = EntryCore(EntryConfig(rows[0]), ("c1",))
+        core.ctx.view = View(1, 1, "", (), tuple(rows))
+        frames = [
+            encode(Envelope(r.entry_id, PeerBeat(r.entry_id, "0123456789ab", 1, 1, 1)))
+            for r in rows[1:]
+        ]
+
+        def round_of_beats(core=core, frames=frames):
+            for frame in frames:
+                envelope = decode(frame)
+                core.receive(envelope.sender, envelope.body, 1.0)
+            core._beat(1.0)
+            for action in core.take_actions():
+                encode(Envelope("e", action.body))
+
+        points.append((peers, 1e3 * _seconds(round_of_beats, 20)))
+    size = len(frames[0])
+    yield Slope("beats, one round", "peers in the region", tuple(points), "ms", 55)
+    yield Slope(
+        "beats, bytes a round",
+        "peers in the region",
+        tuple((n, n * size / 1e3) for n in (3, 14, 55)),
+        "kB",
+        55,
+    )
+
+
+def measure_storage():
+    """Yield the bytes that commands take on the disk."""
+    import tempfile
+
+    points = []
+    for count in (100, 1_000, 5_000):
+        with tempfile.TemporaryDirectory() as folder:
+            storage = Storage(folder, "c1")
+            from snipebay_model.messages import LogEntry
+
+            kind, data = encode_body(PutBackend(_backend_row(1)))
+            storage.save(
+                Ready(entries=[LogEntry(i, 1, kind, data) for i in range(1, count + 1)])
+            )
+            storage.close()
+            points.append((count, pathlib.Path(folder, "log").stat().st_size / 1e3))
+    yield Slope("log on disk", "commands", tuple(points), "kB", 4_000)
+
+
+MEASUREMENTS = (
+    measure_lookup,
+    measure_view,
+    measure_control,
+    measure_beats,
+    measure_storage,
+)
+
+
+@app.default
+def run(*, write: bool = True):
+    """Measure all slopes and print them.
+
+    Args:
+        write: Put the table into the page too.
+    """
+    slopes = [slope for measurement in MEASUREMENTS for slope in measurement()]
+    table = _markdown(slopes)
+    print(table)
+    if write:
+        text = PAGE.read_text()
+        head, _, rest = text.partition(START)
+        tail = rest.partition(END)[2]
+        PAGE.write_text(f"{head}{START}\n{table}\n{END}{tail}")
+
+
+def _markdown(slopes):
+    """Return the table of the page."""
+    commit = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True
+    ).stdout.strip()
+    lines = [
+        f"Measured by `make capacity` at commit {commit}.",
+        "",
+        "| what | against | measured (size: value) | slope | at the size |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for s in slopes:
+        points = ", ".join(f"{size:,}: {value:.3g}" for size, value in s.points)
+        lines.append(
+            f"| {s.name}, {s.unit} | {s.against} | {points} | {s.line[0]:.3g} | "
+            f"**{s.at_target:.3g} {s.unit}** at {s.target:,.0f} |"
+        )
+    return "\n".join(lines)
+
+
+def main():
+    """Run from the command line."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/snipebay-testbed/src/snipebay_testbed/promises.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/promises.py
@@ -145,7 +145,7 @@
     def _leave(self):
         backend = self.rig.backends["check-1"]
         # Long runs, so that a drain that ends too early cuts one off.
-        backend.slow_factor = 8.0
+        backend.slow_factor = 30.0
         backend.leave()
         self._await_drained(backend)
 
