--- a/packages/snipebay-testbed/src/snipebay_testbed/demo.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/demo.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import threading
@@ -110,6 +111,7 @@
     seed: int = 1,
     seconds: float = 10.0,
     first_port: int = 21_000,
+    faults: bool = False,
     keep: bool = False,
 ):
     """Run a deployment with load, a change and a drain, and print a summary.
@@ -119,6 +121,8 @@
         seed: Seed of all chance.
         seconds: Length of the load.
         first_port: First of about 150 ports on 127.0.0.1.
+        faults: Kill the leader, freeze an instance and lose a disk meanwhile, in
+            place of the change and the drain.
         keep: Keep logs, spans and data.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix="snipebay-"))
@@ -129,10 +133,11 @@
     print(f"{plan.name}: {plan.entries} instances, {len(running.backends)} backends")
     try:
         if _get_ready(running, findings):
-            tallies = _load(running, findings, seed, seconds)
+            work = _harm if faults else _operate
+            tallies = _load(running, findings, seed, seconds, work)
     finally:
         findings.killed = running.stop()
-    _judge(running, findings, tallies)
+    _judge(findings, tallies, faults)
     _summarize(findings, tallies)
     if keep or findings.faults:
         print(f"logs, spans and data: {folder}")
@@ -163,8 +168,8 @@
     return True
 
 
-def _load(running, findings, seed, seconds):
-    """Run the load with the operator's work beside it; return the tallies."""
+def _load(running, findings, seed, seconds, work):
+    """Run the load with something else beside it; return the tallies."""
     check, issue, read = (service.name for service in running.deployment.services)
     demands = [
         Demand(check, 60.0, False, 1.0),
@@ -173,7 +178,7 @@
     ]
     clients = [f"127.0.{i % 6}.{10 + i}" for i in range(CLIENTS)]
     host = LoadHost(seed, clients, running.entries)
-    operator = threading.Thread(target=_operate, args=(running, findings, seconds))
+    operator = threading.Thread(target=work, args=(running, findings, seconds))
     operator.start()
     host.run_load(demands, seconds, 10.0)
     operator.join()
@@ -198,6 +203,33 @@
         findings.drain_s = report["drained_after_s"]
 
 
+def _harm(running, findings, seconds):
+    """Kill the leader, freeze an instance, lose a disk, each while load runs."""
+    time.sleep(seconds * 0.1)
+    leader = running.client.status().unwrap().leader
+    running.signal(leader, signal.SIGKILL)
+    running.instances[leader].wait()
+    time.sleep(seconds * 0.2)
+    running.start_instance(leader)
+    frozen = next(i for i in running.instances if not running.has_disk(i))
+    running.signal(frozen, signal.SIGSTOP)
+    time.sleep(seconds * 0.3)
+    running.signal(frozen, signal.SIGCONT)
+    loser = next(i for i in running.instances if running.has_disk(i) and i != leader)
+    running.signal(loser, signal.SIGKILL)
+    running.instances[loser].wait()
+    shutil.rmtree(running.folder / loser)
+    running.start_instance(loser)
+    repaired = running.wait_status(
+        lambda s: len(s.members) == 3 and all(m.voter for m in s.members), READY_LIMIT_S
+    )
+    if repaired is None:
+        findings.faults.append("the lost disk's instance did not get its vote back")
+    tree = running.folder / "changed.yaml"
+    tree.write_text(running.deployment.settings(retry_budget=0.2))
+    findings.in_force_s = running.cli("apply", str(tree))["in_force_s"]
+
+
 def _call_standin(address, command):
     """Return a stand-in's report after a command."""
     import http.client
@@ -222,7 +254,7 @@
     print(f"told not run though run: {len(told_wrong)}")
 
 
-def _judge(running, findings, tallies):
+def _judge(findings, tallies, under_faults):
     """Collect every promise that broke."""
     faults = findings.faults
     for service, tally in tallies.items():
@@ -231,12 +263,15 @@
         lost = {
             k: v for k, v in tally.outcomes.items() if k not in ("ok", "resent") and v
         }
-        if lost:
+        # Under faults callers may be told "unknown"; what they are told is judged
+        # by the ledger.
+        if lost and not under_faults:
             faults.append(f"{service}: {lost}")
     if findings.ready_s is not None:
         if findings.in_force_s is None or findings.in_force_s > IN_FORCE_LIMIT_S:
             faults.append(f"change in force after {findings.in_force_s!r} s")
-        if findings.drain_s is None or findings.drain_s > DRAIN_LIMIT_S:
+        late = findings.drain_s is None or findings.drain_s > DRAIN_LIMIT_S
+        if late and not under_faults:
             faults.append(f"drained after {findings.drain_s!r} s")
     if findings.killed:
         faults.append(f"did not stop gracefully: {findings.killed}")
@@ -249,13 +284,20 @@
             service,
             tally.outcomes["ok"],
             tally.outcomes["resent"],
+            tally.outcomes["not-run"],
+            sum(tally.outcomes.values())
+            - sum(tally.outcomes[k] for k in ("ok", "resent", "not-run")),
             f"{tally.ms(50):.1f}",
             f"{tally.ms(99):.1f}",
         )
         for service, tally in sorted(tallies.items())
         if service != "(open)"
     ]
-    print(render_table(["SERVICE", "OK", "RESENT", "p50 ms", "p99 ms"], rows))
+    print(
+        render_table(
+            ["SERVICE", "OK", "RESENT", "NOT RUN", "OTHER", "p50 ms", "p99 ms"], rows
+        )
+    )
     print(
         f"ready after {findings.ready_s:.1f} s; change in force everywhere after "
         f"{findings.in_force_s} s; drained in {findings.drain_s} s"
--- a/packages/snipebay-testbed/src/snipebay_testbed/processes.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/processes.py
@@ -113,6 +113,10 @@
             raise RuntimeError(f"{args}: exit {done.returncode}: {done.stdout}")
         return json.loads(done.stdout)
 
+    def has_disk(self, instance_id):
+        """Return True for a control instance."""
+        return (self.folder / instance_id).is_dir()
+
     def signal(self, instance_id, number):
         """Send a signal to one instance."""
         self.instances[instance_id].send_signal(number)
