--- a/packages/snipebay-control/tests/test_control_core.py
+++ b/packages/snipebay-control/tests/test_control_core.py
@@ -4,8 +4,8 @@
 
 import attrs
 from snipebay_control.core import ControlConfig
-from snipebay_model.messages import ApplySettings, PutBackend
-from snipebay_model.view import BackendRow
+from snipebay_model.messages import ApplySettings, PutBackend, Renew
+from snipebay_model.view import BackendRow, EntryRow
 from snipebay_testbed.control_rig import ControlRig
 
 SEEDS = range(25)
@@ -240,6 +240,39 @@
         self.assertEqual(rig.leader.core.state.settings_revision, base)
 
 
+class TestEntryInstances(ControlCase):
+    def join(self, rig, incarnation, address):
+        row = EntryRow("e1", incarnation, address, address, "a", "x")
+        heard = []
+        rig.network.receivers["e1"] = lambda sender, body: heard.append(body)
+        for _ in range(4):
+            renew = Renew(row, int(rig.scheduler.now_s * 1_000), 0, 0)
+            rig.network.send("e1", rig.leader.id, renew)
+            rig.scheduler.run_for(0.3)
+        return heard[-1]
+
+    def test_second_instance_with_an_id_in_use_is_refused(self):
+        rig = ControlRig(11)
+        rig.elect()
+        self.assertTrue(self.join(rig, "one", "127.0.0.1:1").granted)
+        second = self.join(rig, "two", "127.0.0.1:2")
+        self.assertFalse(second.granted)
+        self.assertIn("instance id 'e1' is in use", second.refused)
+
+    def test_restart_at_the_same_address_takes_the_id_over(self):
+        rig = ControlRig(12)
+        rig.elect()
+        self.join(rig, "one", "127.0.0.1:1")
+        self.assertTrue(self.join(rig, "two", "127.0.0.1:1").granted)
+
+    def test_last_of_a_region_is_kept_for_it_may_serve_on(self):
+        rig = ControlRig(13)
+        rig.elect()
+        self.join(rig, "one", "127.0.0.1:1")
+        rig.scheduler.run_for(20)
+        self.assertIn("e1", rig.leader.core.state.entries)
+
+
 class TestBackendLeases(ControlCase):
     def test_silent_backend_server_is_removed(self):
         rig = ControlRig(10)
--- a/packages/snipebay-policy/tests/test_entry_core.py
+++ b/packages/snipebay-policy/tests/test_entry_core.py
@@ -194,6 +194,24 @@
         self.assertFalse(self.core.ctx.may_serve(self.now_s))
 
 
+class TestAnnouncements(EntryCase):
+    def test_unknown_service_and_place_are_named(self):
+        announce = self.core.announcements.announce
+        for row, text in (
+            (backend_row(9, "wrote"), "unknown service 'wrote'"),
+            (backend_row(9, domain="q"), "unknown failure domain 'q'"),
+            (backend_row(9, region="b"), "stands in 'a', not in 'b'"),
+        ):
+            with self.assertRaisesRegex(ValueError, text):
+                announce(row, self.now_s)
+
+    def test_renewal_is_reported_once_to_control(self):
+        answer = self.core.announcements.announce(self.backends[0], self.now_s)
+        self.assertEqual(answer.state, "serving")
+        self.assertEqual(self.core.announcements.take_seen(), ("read-1",))
+        self.assertEqual(self.core.announcements.take_seen(), ())
+
+
 class TestLeavingBackend(EntryCase):
     def test_word_of_a_peer_ends_new_work_at_once(self):
         beat = PeerBeat("e2", "run", self.revision, 1, leaving=("read-1",))
--- a/packages/snipebay-testbed/src/snipebay_testbed/bench.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/bench.py
@@ -168,13 +168,13 @@
         rig.scheduler.run_for(WARM_UP_S + 1)
         rig.results.clear()
         rig.crossed.clear()
+        rig.asked.clear()
         sent, size = (
             sum(rig.network.sent.values()),
             sum(rig.network.sent_bytes.values()),
         )
         start_s = rig.now_s
         tries = self._tries()
-        asked = self._asked()
         SCENARIOS[self.scenario](self)
         rig.scheduler.run_for(2.0)
         span_s = (rig.now_s - start_s) * len(rig.entries)
@@ -182,7 +182,6 @@
             (sum(rig.network.sent.values()) - sent) / span_s,
             (sum(rig.network.sent_bytes.values()) - size) / span_s / 1_000,
             self._tries() - tries,
-            {key: count - asked.get(key, 0) for key, count in self._asked().items()},
         )
 
     def _tries(self):
@@ -193,27 +192,18 @@
             if host.core
         )
 
-    def _asked(self):
-        """Return requests by region so far."""
-        asked = {}
-        for host in self.rig.entries.values():
-            if host.core:
-                region = host.row.region
-                total = host.core.ctx.meter(self.service).total
-                asked[region] = asked.get(region, 0) + total
-        return asked
-
-    def _figures(self, messages, kilobytes, tries, asked):
+    def _figures(self, messages, kilobytes, tries):
         rig = self.rig
         results = [r for r in rig.results if r.service == self.service]
         ok = [r.latency_s * 1_000 for r in results if r.outcome == "ok"]
         count = len(self.arrivals)
         shares = [
-            rig.crossed[region, self.service] / total
-            for region, total in asked.items()
-            if total
+            rig.crossed[place] / total
+            for place, total in rig.asked.items()
+            if place[1] == self.service
         ]
-        rules = self.rig.entries["e01"].core.ctx.rules(self.service)
+        host = next(host for host in rig.entries.values() if host.core)
+        rules = host.core.ctx.rules(self.service)
         return Figures(
             self.scenario,
             self.name,
--- a/packages/snipebay-testbed/src/snipebay_testbed/promises.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/promises.py
@@ -67,14 +67,14 @@
         self.revisions = {}
         self.accepted = 0
         self.accepted_s = 0.0
-        self.asked = collections.Counter()
-        self.crossed = collections.Counter()
         self._fault_names = fault_names or sorted(FAULTS)
         self._count = count
 
     def run(self):
         """Run load and faults, heal, and judge."""
         rig = self.rig
+        rig.asked.clear()
+        rig.crossed.clear()
         self.accepted = rig.control.leader.core.state.settings_revision
         self._load("check", 60.0)
         self._load("issue", 25.0)
@@ -111,7 +111,6 @@
         host = hosts[int(self.rig.rng.integers(len(hosts)))]
         if host.core is None:
             return
-        self.asked[host.row.region, service] += 1
         told = []
         keyed = service == "issue"
         host.request(service, key if keyed else "", on_result=told.append)
@@ -224,7 +223,7 @@
         self._judge_not_run(not_run & runs.keys())
         if rig.over_slots():
             broken.append(f"{rig.over_slots()} requests met no free slot")
-        for (region, service), asked in self.asked.items():
+        for (region, service), asked in rig.asked.items():
             crossed = rig.crossed[region, service]
             if crossed > SHIFT_CAP * asked:
                 broken.append(f"{region} {service}: {crossed} of {asked} shifted")
--- a/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
@@ -83,7 +83,7 @@
         """Start the process anew."""
         self._run += 1
         self.row = attrs.evolve(self.row, incarnation=f"run{self._run}")
-        cfg = EntryConfig(self.row)
+        cfg = EntryConfig(self.row, beat_s=self.rig.beat_s)
         run_number = int(self.rig.rng.integers(1 << 40))
         self.core = EntryCore(cfg, tuple(self.rig.control.hosts), run_number)
         self.rig.network.receivers[self.id] = self._receive
@@ -125,6 +125,7 @@
         """Send a request as a caller; return its id."""
         request_id = self.rig.next_id()
         self._open[request_id] = (service, key, self.rig.now_s, on_result)
+        self.rig.asked[self.row.region, service] += 1
         info = RequestInfo(service, None, key, digest or key)
         self.do(lambda: self.core.requests.arrive(request_id, info, self.rig.now_s))
         return request_id
@@ -286,6 +287,7 @@
         settings: Settings tree, by default the deployment's.
         sigma: Spread of run times.
         host_class: Class of the entry instances.
+        beat_s: Between two beats of an entry instance.
         **network: Further arguments of the fake network.
     """
 
@@ -298,6 +300,7 @@
         settings=None,
         sigma=0.3,
         host_class=EntryHost,
+        beat_s=0.1,
         **network,
     ):
         self.deployment = deployment
@@ -307,7 +310,9 @@
         self.network = self.control.network
         self.network.delay_s = self._message_s
         self.connect_s = deployment.connect_ms / 1_000
+        self.beat_s = beat_s
         self.results = []
+        self.asked = collections.Counter()
         self.crossed = collections.Counter()
         self._region = dict(deployment.domains)
         self._place = {
