Deal each backend server by itself

Cause: the bound on each owner's load tied all slots of a region together, so one drained backend server moved slots of the others, each out of use for over a second. Change: rendezvous order for each backend server alone, its own failure domain first.

--- a/packages/snipebay-policy/src/snipebay_policy/deal.py
+++ b/packages/snipebay-policy/src/snipebay_policy/deal.py
@@ -1,13 +1,10 @@
 """Deals the slots of backend servers out to entry instances.
 
-Source: rendezvous hashing (Thaler and Ravishankar, 1998) with a bound on the
-load of each owner (Mirrokni et al., 2018), so that a change of the owners
+Source: rendezvous hashing (Thaler and Ravishankar, 1998), so that a change
 moves few slots.
 """
 
 import hashlib
-import itertools
-import math
 
 import attrs
 
@@ -33,47 +30,32 @@
         view: The view to deal by.
         region: The region.
     """
-    entries = {
-        row.entry_id: row.domain
-        for row in view.entries
-        if row.region == region and not row.leaving
-    }
-    if not entries:
-        return {}
-    rows = sorted(
-        (row for row in view.backends if row.is_open and row.region == region),
-        key=lambda row: row.service,
-    )
+    entries = [row for row in view.entries if row.region == region and not row.leaving]
     owners = {}
-    for _, group in itertools.groupby(rows, lambda row: row.service):
-        owners.update(_deal_group(list(group), entries))
+    if entries:
+        for row in view.backends:
+            if row.is_open and row.region == region:
+                owners.update(_deal_backend(row, entries))
     return owners
 
 
-def _deal_group(backends, entries):
-    """Return the owners of the slots of one service in one region.
+def _deal_backend(backend, entries):
+    """Return the owners of one backend server's slots.
 
-    Owners in the backend server's own failure domain come first: a slot is
-    taken while a request is on the way, so a short way makes more of it.
+    Each backend server is dealt by itself, so that one that comes or goes moves
+    no slot of another. Its own failure domain comes first: a slot is taken
+    while a request is on the way, so a short way makes more of it.
     """
-    slots = [
-        (Slot(row.backend_id, number), row.domain)
-        for row in backends
-        for number in range(row.slots)
-    ]
-    room = dict.fromkeys(entries, math.ceil(len(slots) / len(entries)))
-    owners = {}
-    for slot, domain in slots:
-        with_room = [entry_id for entry_id in entries if room[entry_id]]
-        owner = min(
-            with_room, key=lambda e, s=slot, d=domain: (entries[e] != d, _rank(e, s))
-        )
-        room[owner] -= 1
-        owners[slot] = owner
-    return owners
+    near = [row.entry_id for row in entries if row.domain == backend.domain]
+    names = near or [row.entry_id for row in entries]
+    ranked = sorted(names, key=lambda name: _rank(name, backend.backend_id))
+    return {
+        Slot(backend.backend_id, number): ranked[number % len(ranked)]
+        for number in range(backend.slots)
+    }
 
 
-def _rank(entry_id, slot):
-    """Return where an entry instance stands in the order of a slot."""
-    text = f"{entry_id}/{slot.backend_id}/{slot.number}".encode()
+def _rank(entry_id, backend_id):
+    """Return where an entry instance stands in the order of a backend server."""
+    text = f"{entry_id}/{backend_id}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
