Push settled floors; shorter word of peers

Cause: a slot that changes hands waited for the next renewal (0.5 s) after all had settled, and 1.2 s for a cut-off owner to stop.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -96,6 +96,7 @@
         self._joining = {}
         self._hellos = {}
         self._pushed = {}
+        self._pushed_floors = {}
         self._floors = {}
         self._drained = ()
         self._checked_settings = 0
@@ -234,6 +235,7 @@
         self._pending.clear()
         self._joining.clear()
         self._pushed.clear()
+        self._pushed_floors.clear()
         self._floors = {}
         self._drained = ()
         self._next_reap_s = 0.0
@@ -283,13 +285,17 @@
     def _push(self):
         """Send entry instances what changed, without waiting to be asked."""
         for entry_id, report in self.sessions.reports.items():
+            row = self.state.entries.get(entry_id)
+            if row is None:
+                continue
             base = max(report.applied, self._pushed.get(entry_id, 0))
-            state_row = self.state.entries.get(entry_id)
-            if base < self.state.revision and state_row is not None:
+            floor = self._settled(row.region)
+            has_news = base < self.state.revision
+            if has_news or floor > self._pushed_floors.get(entry_id, 0):
                 self._pushed[entry_id] = self.state.revision
-                self._outbox.append(
-                    (entry_id, self._reply(state_row.region, base, granted=False))
-                )
+                reply = self._reply(row.region, base, granted=False)
+                self._outbox.append((entry_id, reply))
+            self._pushed_floors[entry_id] = floor
 
     # --- requests ---------------------------------------------------------
 
--- a/packages/snipebay-policy/src/snipebay_policy/context.py
+++ b/packages/snipebay-policy/src/snipebay_policy/context.py
@@ -33,8 +33,8 @@
     """
 
     row: object
-    peer_fresh_s: float = 1.0
-    takeover_s: float = 1.2
+    peer_fresh_s: float = 0.6
+    takeover_s: float = 0.8
     beat_s: float = 0.1
     renew_s: float = 0.5
     claim_retry_s: float = 0.5
--- a/packages/snipebay-testbed/src/snipebay_testbed/bench.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/bench.py
@@ -195,15 +195,19 @@
     def _figures(self, messages, kilobytes, tries):
         rig = self.rig
         results = [r for r in rig.results if r.service == self.service]
-        ok = [r.latency_s * 1_000 for r in results if r.outcome == "ok"]
+        host = next(host for host in rig.entries.values() if host.core)
+        rules = host.core.ctx.rules(self.service)
+        ok = [
+            r.latency_s * 1_000
+            for r in results
+            if r.outcome == "ok" and r.latency_s * 1_000 <= rules.deadline_ms
+        ]
         count = len(self.arrivals)
         shares = [
             rig.crossed[place] / total
             for place, total in rig.asked.items()
             if place[1] == self.service
         ]
-        host = next(host for host in rig.entries.values() if host.core)
-        rules = host.core.ctx.rules(self.service)
         return Figures(
             self.scenario,
             self.name,
