Serve the newest first once the queue eats up the deadline

Cause: at 95 % and more every waiting request got its slot just before its deadline: work was done for answers that came too late. Ruled out: slots standing free (peak load of the regions 1.0). Change: once the first in the queue has waited a quarter of its time, the newest are served first and the oldest run into their deadline.

--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -23,6 +23,7 @@
 ABORT_PATIENCE_S = 1.0
 NEAR_CANCEL_S = 0.02
 SPILL_TRIPS = 1.0
+OVERLOAD_SHARE = 0.25
 
 
 class RequestSystem:
@@ -227,7 +228,7 @@
         lacking = {}
         full = set()
         served = self._served_regions(service, now_s)
-        for row in sorted(waiting.values(), key=_order):
+        for row in _in_order(waiting.values(), now_s):
             if not row.may_dispatch or now_s >= row.deadline_s:
                 continue
             wanted = self._wanted_region(row, served, now_s)
@@ -544,6 +545,21 @@
             self._begin_abort(row, now_s)
 
 
+def _in_order(rows, now_s):
+    """Return waiting requests in the order in which they get slots.
+
+    Usually the earliest deadline comes first. In an overload that would serve
+    everyone just too late, so once the first has used up much of its time the
+    newest come first, and the oldest run into their deadline.
+    """
+    ordered = sorted(rows, key=_order)
+    first = ordered[0]
+    patience_s = (first.deadline_s - first.arrived_s) * OVERLOAD_SHARE
+    if now_s - first.arrived_s > patience_s:
+        ordered.reverse()
+    return ordered
+
+
 def _order(row):
     """Return the place of a waiting request in the queue."""
     return PRIORITIES.index(row.rules.priority), row.deadline_s, row.request_id
