--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -20,7 +20,6 @@
 )
 from snipebay_model.settings import parse_settings
 from snipebay_model.status import (
-    ChangeStatus,
     ClusterStatus,
     EntryStatus,
     MemberStatus,
@@ -407,8 +406,8 @@
     def _answer_status(self, sender, request):
         answer = {
             "status": self.status,
-            "settings": lambda: self._changes()[-1:],
-            "history": self._changes,
+            "settings": lambda: list(self.state.changes)[-1:],
+            "history": lambda: list(self.state.changes),
         }.get(request.what)
         if answer is None:
             outcome, data = Outcome("invalid", detail=f"no {request.what!r}"), b""
@@ -418,9 +417,6 @@
         reply = StatusReply(request.request_id, outcome, self.leader_id, data)
         self._outbox.append((sender, reply))
 
-    def _changes(self):
-        return [ChangeStatus(**attrs.asdict(change)) for change in self.state.changes]
-
     def status(self):
         """Return the state of the system as this leader knows it."""
         reports = self.sessions.reports
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -8,38 +8,18 @@
 from snipebay_model import messages
 from snipebay_model.codec import decode_body
 from snipebay_model.messages import Outcome
+from snipebay_model.status import ChangeStatus
 from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
 
 from snipebay_control.claims import ClaimRow, ClaimTable
 
-__all__ = ["Change", "ControlState"]
+__all__ = ["ControlState"]
 
 JOURNAL_ROWS = 2_048
 CHANGES_KEPT = 200
 CHANGE_IDS_KEPT = 10_000
 
 
-@attrs.frozen
-class Change:
-    """One accepted change of the settings.
-
-    Attributes:
-        revision: Settings revision that it made.
-        change_id: Id given by the operator's client.
-        author: Who made it.
-        note: Why, in the author's words.
-        at_ms: Cluster time.
-        text: Settings after the change.
-    """
-
-    revision: int
-    change_id: str
-    author: str
-    note: str
-    at_ms: int
-    text: str
-
-
 @attrs.define
 class _Image:
     """Whole state as stored in a snapshot."""
@@ -50,7 +30,7 @@
     now_ms: int
     backends: list[BackendRow]
     entries: list[EntryRow]
-    changes: list[Change]
+    changes: list[ChangeStatus]
     change_outcomes: list[tuple[str, Outcome]]
     claims: list[ClaimRow]
 
@@ -194,7 +174,7 @@
             self.settings = cmd.text
             self.settings_revision = self._touch("settings")
             self.changes.append(
-                Change(
+                ChangeStatus(
                     self.settings_revision,
                     cmd.change_id,
                     cmd.author,
--- a/packages/snipebay-model/src/snipebay_model/status.py
+++ b/packages/snipebay-model/src/snipebay_model/status.py
@@ -29,7 +29,16 @@
 
 @attrs.frozen
 class ChangeStatus:
-    """An accepted change of the settings."""
+    """An accepted change of the settings.
+
+    Attributes:
+        revision: Settings revision that it made.
+        change_id: Id given by the operator's client.
+        author: Who made it.
+        note: Why, in the author's words.
+        at_ms: Cluster time.
+        text: Settings after the change.
+    """
 
     revision: int
     change_id: str
--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -3,9 +3,9 @@
 import itertools
 
 from snipebay_model.messages import Abort, Claim, Finish, Outcome
-from snipebay_model.rules import PRIORITIES
 from snipebay_model.units import ANSWER_KEPT_BYTES
 
+from snipebay_policy.placement import Placement, in_order
 from snipebay_policy.work import (
     NOT_RUN,
     UNKNOWN,
@@ -22,8 +22,6 @@
 
 ABORT_PATIENCE_S = 1.0
 NEAR_CANCEL_S = 0.02
-SPILL_TRIPS = 1.0
-OVERLOAD_SHARE = 0.25
 
 
 class RequestSystem:
@@ -40,6 +38,7 @@
         self.ctx = ctx
         self.loans = loans
         self.commands = commands
+        self.placement = Placement(ctx)
         self.rows = {}
         self._incarnation = incarnation
         self._by_attempt = {}
@@ -227,11 +226,11 @@
             return
         lacking = {}
         full = set()
-        served = self._served_regions(service, now_s)
-        for row in _in_order(waiting.values(), now_s):
+        served = self.placement.served_regions(service, now_s)
+        for row in in_order(waiting.values(), now_s):
             if not row.may_dispatch or now_s >= row.deadline_s:
                 continue
-            wanted = self._wanted_region(row, served, now_s)
+            wanted = self.placement.wanted_region(row, served, now_s)
             if not self._place(row, wanted, full, now_s):
                 lacking[wanted] = lacking.get(wanted, 0) + 1
         for region, count in sorted(lacking.items()):
@@ -252,99 +251,15 @@
         for region in dict.fromkeys((row.region, wanted)):
             if region in full:
                 continue
-            holding = self._best_slot(row, region, now_s)
+            holding = self.placement.best_slot(row, region, now_s)
             if holding is None:
                 if not row.tried:
                     full.add(region)
-            elif self._cross(row, region, now_s):
+            elif self.placement.cross(row, region, now_s):
                 self._dispatch(row, holding, now_s)
                 return True
         return False
 
-    def _wanted_region(self, row, served, now_s):
-        """Return the region to ask for slots, another one when ours has none.
-
-        Args:
-            row: The request.
-            served: Regions with usable backend servers, nearest first.
-            now_s: Time.
-        """
-        home = self.ctx.region
-        waited_s = now_s - row.arrived_s
-        if row.region != home:
-            # A shift that finds no slot there is served at home.
-            is_patient = waited_s < self._patience_s(row.region)
-            return row.region if is_patient else home
-        others = [region for region in served if region != home]
-        if not others or not self._may_cross(row):
-            return home
-        if home in served and waited_s < self._patience_s(others[0]):
-            return home
-        return others[0]
-
-    def _patience_s(self, region):
-        """Return the wait after which a way to another region is worth it."""
-        return (
-            SPILL_TRIPS
-            * 2
-            * self.ctx.settings.link(self.ctx.region, region).delay_ms
-            / 1_000
-        )
-
-    def _served_regions(self, service, now_s):
-        """Return the regions with usable backend servers, nearest first."""
-        regions = {
-            row.region
-            for row in self.ctx.backends.values()
-            if row.service == service
-            and self.ctx.is_open(row.backend_id)
-            and self.ctx.health.is_usable(row.backend_id, now_s)
-        }
-        home = self.ctx.region
-        return sorted(
-            regions,
-            key=lambda r: (r != home, self.ctx.settings.link(home, r).delay_ms, r),
-        )
-
-    def _may_cross(self, row):
-        return row.is_shifted or self.ctx.meter(row.info.service).may_shift
-
-    def _cross(self, row, region, now_s):
-        """Return True when the request may go to a region, and count it there."""
-        if region == self.ctx.region:
-            return True
-        if not self.ctx.link(region).allows(row.rules.answer_bytes, now_s):
-            return False
-        if not self._may_cross(row):
-            return False
-        if not row.is_shifted:
-            self.ctx.meter(row.info.service).shift()
-            row.is_shifted = True
-        self.ctx.link(region).spend(row.rules.answer_bytes, now_s)
-        return True
-
-    def _best_slot(self, row, region, now_s):
-        """Return the free slot with the least expected cost, or None."""
-        rows = self.ctx.backends
-        usable = [
-            holding
-            for holding in self.ctx.slots.free(row.info.service, region, now_s)
-            if self.ctx.health.is_usable(holding.slot.backend_id, now_s)
-            and self.ctx.is_open(holding.slot.backend_id)
-            and holding.slot.backend_id not in row.tried
-        ]
-        if not usable:
-            return None
-        own_domain = self.ctx.cfg.row.domain
-        return min(
-            usable,
-            key=lambda h: (
-                self.ctx.health.score(h.slot.backend_id, now_s),
-                rows[h.slot.backend_id].domain != own_domain,
-                h.slot,
-            ),
-        )
-
     def _dispatch(self, row, holding, now_s, *, is_hedge=False):
         attempt = Attempt(next(self._attempt_ids), holding.slot, now_s, is_hedge)
         self.ctx.slots.take(holding, now_s)
@@ -368,7 +283,7 @@
         if first.won or first.is_hedge or now_s - first.started_s < after_s:
             return
         row.tried.add(first.slot.backend_id)
-        holding = self._best_slot(row, self.ctx.region, now_s)
+        holding = self.placement.best_slot(row, self.ctx.region, now_s)
         if holding is not None and self.ctx.budget(row.info.service).spend():
             self.ctx.counts["hedges"] += 1
             self._dispatch(row, holding, now_s, is_hedge=True)
@@ -543,23 +458,3 @@
             self._send_claim(row, now_s)
         else:
             self._begin_abort(row, now_s)
-
-
-def _in_order(rows, now_s):
-    """Return waiting requests in the order in which they get slots.
-
-    Usually the earliest deadline comes first. In an overload that would serve
-    everyone just too late, so once the first has used up much of its time the
-    newest come first, and the oldest run into their deadline.
-    """
-    ordered = sorted(rows, key=_order)
-    first = ordered[0]
-    patience_s = (first.deadline_s - first.arrived_s) * OVERLOAD_SHARE
-    if now_s - first.arrived_s > patience_s:
-        ordered.reverse()
-    return ordered
-
-
-def _order(row):
-    """Return the place of a waiting request in the queue."""
-    return PRIORITIES.index(row.rules.priority), row.deadline_s, row.request_id
