Operator client tried by hand: conflicts answered, shift written, fields named

The run without settling no longer broke a promise once fewer slots changed hands: at 60 checks a second two owners hardly meet. Sockets to instances that are gone are closed.

--- a/packages/snipebay-cli/src/snipebay_cli/__main__.py
+++ b/packages/snipebay-cli/src/snipebay_cli/__main__.py
@@ -1,6 +1,7 @@
 """The operators' command line."""
 
 import getpass
+import io
 import json
 import os
 import pathlib
@@ -374,19 +375,9 @@
             {"service": service, "source": source, "target": target, "share": share}
         )
     tree["shifts"] = shifts
-    part = _Text()
-    yaml.dump(tree, part)
-    return part.text
-
-
-class _Text:
-    """A stream that keeps what is written."""
-
-    def __init__(self):
-        self.text = ""
-
-    def write(self, text):
-        self.text += text
+    stream = io.StringIO()
+    yaml.dump(tree, stream)
+    return stream.getvalue()
 
 
 def _wait(common, condition):
--- a/packages/snipebay-node/src/snipebay_node/api.py
+++ b/packages/snipebay-node/src/snipebay_node/api.py
@@ -29,7 +29,9 @@
     service: str
     address: str
     domain: str
-    slots: int = attrs.field(validator=attrs.validators.in_(range(1, 10_001)))
+    slots: int = attrs.field(
+        validator=[attrs.validators.ge(1), attrs.validators.le(10_000)]
+    )
     leaving: bool = False
 
 
@@ -237,7 +239,8 @@
             if status == 200:
                 exchange.respond_json(200, document)
             else:
-                exchange.problem(status, "not-run", outcome.detail, None, **document)
+                del document["detail"]
+                exchange.problem(status, "not-run", outcome.detail, **document)
 
         def give_up(now_s):
             exchange.problem(
@@ -314,5 +317,12 @@
 def _explain(exc):
     """Return all that is wrong with a body in one line."""
     if isinstance(exc, cattrs.BaseValidationError):
-        return "; ".join(cattrs.transform_error(exc))
+        return "; ".join(cattrs.transform_error(exc, format_exception=_describe))
     return str(exc)
+
+
+def _describe(exc, kind):
+    """Return one finding of a body; our validators name field and value."""
+    if type(exc) is ValueError:
+        return exc.args[0]
+    return cattrs.v.format_exception(exc, kind)
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -28,6 +28,7 @@
 __all__ = ["Node"]
 
 TICK_S = 0.05
+FORGET_S = 30.0
 CONTROL_MESSAGES = (
     messages.AppendReply,
     messages.AppendRequest,
@@ -77,6 +78,7 @@
         self._stopping_since_s = None
         self._left_s = None
         self._warned = ""
+        self._next_forget_s = 0.0
         seed = secrets.randbits(64)
         tracing_rng = np.random.default_rng(seed)
         if settings.is_control:
@@ -188,6 +190,16 @@
             if isinstance(body, messages.RenewReply):
                 self._note_refusal(body.refused)
 
+    def _forget_gone(self):
+        """Close sockets to instances that no view names any more."""
+        rows = self.entry.ctx.view.entries
+        known = {row.internal for row in rows} | set(self._controls.values())
+        if self.control is not None:
+            known |= {row.internal for row in self.control.state.entries.values()}
+            known |= set(self._newcomers.values())
+            self._newcomers.clear()
+        self.bus.keep(known)
+
     def _note_refusal(self, refused):
         if refused != self._warned and refused:
             log.error("this instance may not join", reason=refused)
@@ -255,6 +267,9 @@
             self.metrics.revision.set(self.entry.ctx.view.revision)
             self.metrics.set_decisions(self.entry.ctx.counts)
         self.run_actions()
+        if now_s >= self._next_forget_s:
+            self._next_forget_s = now_s + FORGET_S
+            self._forget_gone()
         if self._stopping_since_s is not None:
             self._go_on_stopping(now_s)
 
--- /dev/null
+++ b/packages/snipebay-node/tests/test_api.py
@@ -0,0 +1,133 @@
+"""Tests of the routes for backend servers and operators."""
+
+import json
+import unittest
+
+from snipebay_cli.__main__ import _with_shift
+from snipebay_model.messages import CommandReply, CommandRequest, Outcome, RenewReply
+from snipebay_model.settings import parse_settings
+from snipebay_model.view import EntryRow, ViewDelta
+from snipebay_node.api import Api
+from snipebay_node.http_server import HttpServer
+from snipebay_policy.context import EntryConfig
+from snipebay_policy.entry import EntryCore
+from snipebay_testbed.fake_stream import FakeStream
+
+TREE = """\
+# kept
+regions: {a: {domains: [x]}, b: {domains: [y]}}
+services: {s: {rules: {deadline_ms: 900}}}
+"""
+
+
+class FakeNode:
+    """A node without sockets, disk and clock."""
+
+    def __init__(self):
+        row = EntryRow("e1", "run", "127.0.0.1:1", "127.0.0.1:2", "a", "x")
+        self.entry = EntryCore(EntryConfig(row), ("c1",))
+        reply = RenewReply("c1", True, 0, 3_000, 1, 1, ViewDelta(0, 1, True, TREE, 1))
+        self.entry.receive("c1", reply, 0.0)
+        self.entry.take_actions()
+
+    def clock(self):
+        return 0.0
+
+    def run_actions(self):
+        pass
+
+
+class ApiCase(unittest.TestCase):
+    def setUp(self):
+        self.node = FakeNode()
+        self.token = ""
+        self.stream = FakeStream()
+
+    def call(self, method, path, document=None, headers=""):
+        body = json.dumps(document).encode() if document is not None else b""
+        head = f"{method} {path} HTTP/1.1\r\nHost: a\r\n{headers}"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        server = HttpServer(Api(self.node, self.token), self.node.clock)
+        server.accept(self.stream)
+        self.stream.on_data(head.encode() + body)
+
+    def answer(self):
+        head, _, body = bytes(self.stream.sent).partition(b"\r\n\r\n")
+        return int(head.split()[1]), json.loads(body)
+
+
+class TestAnnouncing(ApiCase):
+    GOOD = {"service": "s", "address": "127.0.0.1:9", "domain": "x", "slots": 2}
+
+    def test_new_backend_server_is_joining(self):
+        self.call("PUT", "/v1/backends/b1", self.GOOD)
+        status, document = self.answer()
+        self.assertEqual((status, document["state"]), (200, "joining"))
+
+    def test_wrong_fields_are_named(self):
+        for change, text in (
+            ({"slots": 0}, "'slots' must be >= 1: 0"),
+            ({"slots": "2"}, "slots: expected int, got '2'"),
+            ({"address": "host:1"}, "address: expected an IP number"),
+            ({"service": "z"}, "unknown service 'z'"),
+            ({"domain": "z"}, "unknown failure domain 'z'"),
+            ({"colour": 1}, "colour"),
+        ):
+            with self.subTest(change=change):
+                self.stream = FakeStream()
+                self.call("PUT", "/v1/backends/b1", self.GOOD | change)
+                status, document = self.answer()
+                self.assertEqual(status, 422)
+                self.assertIn(text, document["detail"])
+
+
+class TestOperators(ApiCase):
+    CHANGE = {"change_id": "c", "base_revision": 1, "author": "a", "text": TREE}
+
+    def reply(self, outcome):
+        """Let control answer the command that was sent."""
+        (request,) = [
+            action.body
+            for action in self.node.entry.take_actions()
+            if isinstance(action.body, CommandRequest)
+        ]
+        reply = CommandReply(request.request_id, outcome, "c1")
+        self.node.entry.receive("c1", reply, 0.0)
+
+    def test_conflict_is_answered_with_what_stands_against_it(self):
+        self.call("POST", "/v1/settings", self.CHANGE)
+        self.reply(Outcome("conflict", 7, "made by 'eva' with change 'x'"))
+        status, document = self.answer()
+        self.assertEqual((status, document["code"]), (409, "conflict"))
+        self.assertIn("'eva'", document["detail"])
+
+    def test_accepted_change_is_answered_with_its_revision(self):
+        self.call("POST", "/v1/settings", self.CHANGE)
+        self.reply(Outcome("ok", 8))
+        self.assertEqual(self.answer()[1]["revision"], 8)
+
+    def test_token_is_asked_for(self):
+        self.token = "secret"
+        self.call("POST", "/v1/settings", self.CHANGE)
+        self.assertEqual(self.answer()[0], 401)
+        self.stream = FakeStream()
+        header = "Authorization: Bearer secret\r\n"
+        self.call("POST", "/v1/settings", self.CHANGE, header)
+        self.reply(Outcome("ok", 8))
+        self.assertEqual(self.answer()[0], 200)
+
+
+class TestShiftCommand(unittest.TestCase):
+    def test_shift_is_set_changed_and_taken_out(self):
+        once = _with_shift(TREE, "s", "a", "b", 0.2)
+        self.assertIn("# kept", once)
+        self.assertEqual(parse_settings(once).unwrap().shifts[0].share, 0.2)
+        again = _with_shift(once, "s", "a", "b", 0.1)
+        found = [shift.share for shift in parse_settings(again).unwrap().shifts]
+        self.assertEqual(found, [0.1])
+        gone = _with_shift(again, "s", "a", "b", 0)
+        self.assertEqual(parse_settings(gone).unwrap().shifts, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/snipebay-policy/tests/test_entry_core.py
+++ b/packages/snipebay-policy/tests/test_entry_core.py
@@ -297,6 +297,31 @@
         slots.release(holding.slot, self.now_s)
         self.assertEqual(slots.settled, self.revision)
 
+    def test_gained_slot_waits_for_its_former_owner(self):
+        self.entries.append(entry_row("e2"))
+        self.renew()
+        before = self.core.ctx.slots.count("read", FREE)
+        self.assertLess(before, 4)
+        self.entries.pop()
+        self.renew()
+        self.core.ctx.floor = self.revision - 1
+        self.pass_time(30.0)
+        self.assertEqual(self.core.ctx.slots.count("read", FREE), before)
+        self.core.ctx.floor = self.revision
+        self.pass_time(0.1)
+        self.assertEqual(self.core.ctx.slots.count("read", FREE), 4)
+
+    def test_gained_slot_waits_for_an_owner_that_was_cut_off(self):
+        self.entries.append(entry_row("e2"))
+        self.renew()
+        before = self.core.ctx.slots.count("read", FREE)
+        self.entries.pop()
+        self.renew()
+        self.pass_time(0.6)
+        self.assertEqual(self.core.ctx.slots.count("read", FREE), before)
+        self.pass_time(0.4)
+        self.assertEqual(self.core.ctx.slots.count("read", FREE), 4)
+
 
 class TestShares(unittest.TestCase):
     def test_shifted_stays_under_the_cap_at_every_moment(self):
--- a/packages/snipebay-testbed/src/snipebay_testbed/promises.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/promises.py
@@ -52,7 +52,7 @@
 class _Run:
     """One seeded run with load and faults."""
 
-    def __init__(self, seed, fault_names=None, count=3):
+    def __init__(self, seed, fault_names=None, count=3, per_s=60.0):
         self.report = Report(seed)
         # A generator of its own, so that a plan stays when decisions change.
         self.plan = np.random.default_rng(seed + 1_000_000)
@@ -69,6 +69,7 @@
         self.accepted_s = 0.0
         self._fault_names = fault_names or sorted(FAULTS)
         self._count = count
+        self._per_s = per_s
 
     def run(self):
         """Run load and faults, heal, and judge."""
@@ -76,7 +77,7 @@
         rig.asked.clear()
         rig.crossed.clear()
         self.accepted = rig.control.leader.core.state.settings_revision
-        self._load("check", 60.0)
+        self._load("check", self._per_s)
         self._load("issue", 25.0)
         self._watch()
         for _ in range(self._count):
@@ -369,12 +370,13 @@
 }
 
 
-def run_seed(seed, faults=None, count=3):
+def run_seed(seed, faults=None, count=3, per_s=60.0):
     """Return the report of one run.
 
     Args:
         seed: Seed of all chance.
         faults: Names of the faults to draw from, all by default.
         count: Faults in one run.
+        per_s: Checks a second.
     """
-    return _Run(seed, faults, count).run()
+    return _Run(seed, faults, count, per_s).run()
--- a/packages/snipebay-testbed/tests/test_promises.py
+++ b/packages/snipebay-testbed/tests/test_promises.py
@@ -39,11 +39,11 @@
 class TestWithoutMechanism(unittest.TestCase):
     """Each promise breaks when the mechanism that keeps it is taken out."""
 
-    def assert_breaks(self, pattern, faults, seeds=6, count=3):
+    def assert_breaks(self, pattern, faults, seeds=6, count=3, per_s=60.0):
         """Check that one of the seeds breaks a promise in the way expected."""
         seen = []
         for seed in range(seeds):
-            seen += run_seed(seed, faults, count).broken
+            seen += run_seed(seed, faults, count, per_s).broken
             if any(pattern in line for line in seen):
                 return
         self.fail(f"nothing like {pattern!r} in {seen}")
@@ -60,7 +60,10 @@
 
         with mock.patch.object(SlotTable, "mature", mature_at_once):
             self.assert_breaks(
-                "no free slot", ["kill an entry instance", "lose messages"], count=6
+                "no free slot",
+                ["kill an entry instance", "lose messages"],
+                count=8,
+                per_s=900.0,
             )
 
     def test_lease_of_an_entry_instance(self):
