One timer heap for stand-ins and load tool; settings keep their lines

Cause: the same heap stood in two programs, and shift wrapped long lines anew. Change: timers.py; the writer keeps width and indentation.

--- a/packages/snipebay-cli/src/snipebay_cli/__main__.py
+++ b/packages/snipebay-cli/src/snipebay_cli/__main__.py
@@ -364,6 +364,9 @@
 def _with_shift(text, service, source, target, share):
     """Return a settings text with one shift set or taken out."""
     yaml = YAML()
+    # Lines that the operator wrote stay as they are, so that the diff is short.
+    yaml.width = 4_096
+    yaml.indent(mapping=2, sequence=4, offset=2)
     tree = yaml.load(text)
     shifts = [
         row
--- a/packages/snipebay-testbed/src/snipebay_testbed/capacity.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/capacity.py
@@ -4,6 +4,7 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
 import time
 import tracemalloc
 
@@ -13,7 +14,15 @@
 from snipebay_control.raft import Ready
 from snipebay_control.state import ControlState
 from snipebay_model.codec import Envelope, decode, encode, encode_body
-from snipebay_model.messages import Claim, Finish, PeerBeat, PutBackend, Renew
+from snipebay_model.messages import (
+    Claim,
+    Finish,
+    LogEntry,
+    PeerBeat,
+    PutBackend,
+    Renew,
+    RenewReply,
+)
 from snipebay_model.settings import parse_settings
 from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
 from snipebay_node.storage import Storage
@@ -177,8 +186,6 @@
 
 
 def _delta(view):
-    from snipebay_model.messages import RenewReply
-
     delta = ViewDelta(0, 1, True, "", 1, view.backends, (), view.entries)
     return RenewReply("c1", True, 0, 3_000, 1, 1, delta)
 
@@ -261,14 +268,10 @@
 
 def measure_storage():
     """Yield the bytes that commands take on the disk."""
-    import tempfile
-
     points = []
     for count in (100, 1_000, 5_000):
         with tempfile.TemporaryDirectory() as folder:
             storage = Storage(folder, "c1")
-            from snipebay_model.messages import LogEntry
-
             kind, data = encode_body(PutBackend(_backend_row(1)))
             storage.save(
                 Ready(entries=[LogEntry(i, 1, kind, data) for i in range(1, count + 1)])
--- a/packages/snipebay-testbed/src/snipebay_testbed/demo.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/demo.py
@@ -1,7 +1,6 @@
 """The main job: one deployment of the brief, run as separate processes."""
 
-import heapq
-import itertools
+import http.client
 import json
 import pathlib
 import shutil
@@ -14,7 +13,7 @@
 import attrs
 import cyclopts
 import numpy as np
-from circuits import BaseComponent, Event, Timer, handler
+from circuits import BaseComponent, Timer, handler
 from circuits.core.pollers import EPoll
 from snipebay_cli.render import render_table
 from snipebay_node.streams import StreamHub
@@ -23,6 +22,7 @@
 from snipebay_testbed.http_client import HttpClient
 from snipebay_testbed.load import Callers, Demand
 from snipebay_testbed.processes import RunningDeployment, read_ledger
+from snipebay_testbed.timers import Timers, tick
 
 __all__ = ["Findings", "LoadHost", "main"]
 
@@ -35,10 +35,6 @@
 app = cyclopts.App(help=__doc__)
 
 
-class tick(Event):
-    """Time has moved."""
-
-
 class LoadHost(BaseComponent):
     """Event loop of the callers.
 
@@ -55,20 +51,14 @@
         self.poller = EPoll().register(self)
         self.hub = StreamHub(self.poller).register(self)
         self.client = HttpClient(self.hub, time.monotonic)
-        self._due = []
-        self._order = itertools.count()
+        self.timers = Timers()
         rng = np.random.default_rng(seed)
-        self.callers = Callers(self.client, self.after, rng, clients, entries)
+        self.callers = Callers(self.client, self.timers.after, rng, clients, entries)
         Timer(TICK_S, tick(), "load", persist=True).register(self)
 
-    def after(self, delay_s, callback):
-        """Run a callback after a delay."""
-        due_s = time.monotonic() + delay_s
-        heapq.heappush(self._due, (due_s, next(self._order), callback))
-
     def run_load(self, demands, seconds, linger_s):
         """Make requests over a time, and wait for the last answers."""
-        self.after(0, lambda: self.callers.run(demands, seconds))
+        self.timers.after(0, lambda: self.callers.run(demands, seconds))
         end_s = time.monotonic() + seconds
         self.start_loop(lambda: self._is_over(end_s, linger_s))
 
@@ -85,8 +75,7 @@
     @handler("tick")
     def _on_tick(self):
         now_s = time.monotonic()
-        while self._due and self._due[0][0] <= now_s:
-            heapq.heappop(self._due)[2]()
+        self.timers.run_due()
         self.client.tick(now_s)
         if self._is_done():
             self.stop()
@@ -232,8 +221,6 @@
 
 def _call_standin(address, command):
     """Return a stand-in's report after a command."""
-    import http.client
-
     connection = http.client.HTTPConnection(address, timeout=2)
     connection.request("GET", f"/standin/{command}")
     document = json.loads(connection.getresponse().read())
--- a/packages/snipebay-testbed/src/snipebay_testbed/promises.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/promises.py
@@ -65,8 +65,6 @@
         ).start()
         self.rig.connect_s = 0.001
         self.revisions = {}
-        self.accepted = 0
-        self.accepted_s = 0.0
         self._fault_names = fault_names or sorted(FAULTS)
         self._count = count
         self._per_s = per_s
@@ -76,7 +74,6 @@
         rig = self.rig
         rig.asked.clear()
         rig.crossed.clear()
-        self.accepted = rig.control.leader.core.state.settings_revision
         self._load("check", self._per_s)
         self._load("issue", 25.0)
         self._watch()
@@ -179,7 +176,7 @@
 
     def _tree(self, number):
         return SMALL.settings(shift_cap=SHIFT_CAP, retry_budget=0.1 + number / 100) + (
-            f"shifts: [{{service: check, source: west, target: east, share: {0.2}}}]\n"
+            "shifts: [{service: check, source: west, target: east, share: 0.2}]\n"
         )
 
     def _watch(self):
--- a/packages/snipebay-testbed/src/snipebay_testbed/standin.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/standin.py
@@ -1,6 +1,5 @@
 """Stand-in backend servers: slots, cold starts, shedding, drain and a ledger."""
 
-import heapq
 import itertools
 import json
 import pathlib
@@ -10,13 +9,14 @@
 import attrs
 import cyclopts
 import numpy as np
-from circuits import BaseComponent, Event, Timer, handler
+from circuits import BaseComponent, Timer, handler
 from circuits.core.pollers import EPoll
 from snipebay_node.http_server import HttpServer
 from snipebay_node.streams import StreamHub
 
 from snipebay_testbed.deployments import DEPLOYMENTS
 from snipebay_testbed.http_client import HttpClient
+from snipebay_testbed.timers import Timers, tick
 
 __all__ = ["Behaviour", "StandIn", "StandInHost"]
 
@@ -126,7 +126,7 @@
             self.running[id(run)] = run
             if run.key:
                 self.host.note(self.spec, run.key, "run")
-            self.host.after(self._run_s(), lambda r=run: self._end(r))
+            self.host.timers.after(self._run_s(), lambda r=run: self._end(r))
 
     def _run_s(self):
         """Return the time that a run takes."""
@@ -212,10 +212,6 @@
         exchange.respond_json(200, self.report())
 
 
-class tick(Event):
-    """Time has moved."""
-
-
 class StandInHost(BaseComponent):
     """A process with many stand-in backend servers.
 
@@ -238,18 +234,12 @@
         self.hub = StreamHub(self.poller).register(self)
         self.client = HttpClient(self.hub, self.clock)
         self._ledger = open(ledger, "a", buffering=1)  # noqa: SIM115
-        self._due = []
-        self._order = itertools.count()
+        self.timers = Timers()
         self.standins = [
             StandIn(self, spec, behaviour or Behaviour()) for spec in specs
         ]
         Timer(TICK_S, tick(), "standins", persist=True).register(self)
 
-    def after(self, delay_s, callback):
-        """Run a callback after a delay."""
-        due_s = self.clock() + delay_s
-        heapq.heappush(self._due, (due_s, next(self._order), callback))
-
     def note(self, spec, key, what):
         """Write a line of the ledger."""
         line = {"backend": spec.backend_id, "key": key, "what": what}
@@ -258,8 +248,7 @@
     @handler("tick")
     def _on_tick(self):
         now_s = self.clock()
-        while self._due and self._due[0][0] <= now_s:
-            heapq.heappop(self._due)[2]()
+        self.timers.run_due()
         for standin in self.standins:
             standin.tick(now_s)
         self.client.tick(now_s)
