Logs hold only lines of JSON

Cause: the metrics server printed a banner between them; its switch is not read. Change: the handler that prints is replaced.

--- a/packages/snipebay-node/src/snipebay_node/metrics.py
+++ b/packages/snipebay-node/src/snipebay_node/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of one process, and the address that shows them."""
 
 import prometheus_client
+from circuits import handler
 from circuits.web import Controller, Server
 
 __all__ = ["MetricsServer", "NodeMetrics"]
@@ -80,6 +81,10 @@
         super().__init__((host, int(port)), channel="web")
         _Root(metrics, is_ready).register(self)
 
+    @handler("ready", override=True)
+    def _on_ready(self, server, bind):
+        """Print no banner, which would stand between our lines of JSON."""
+
 
 class _Root(Controller):
     """Pages of the metrics address."""
