--- a/packages/snipebay-testbed/src/snipebay_testbed/bench.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/bench.py
@@ -359,6 +359,7 @@
 }
 LOADS = {"steady": (0.5, 0.8, 0.95, 1.2)}
 USUAL_LOAD = 0.6
+IDEAL_RATIO = 1.3
 
 
 def measure(scenario, deployment, load, seed):
@@ -408,9 +409,26 @@
         print(json.dumps(attrs.asdict(row) | {"verdict": verdict}))
     table = _table(rows)
     print(table)
+    missed = list(_missed(rows))
+    for line in missed:
+        print(f"MISSED: {line}")
     if report is not None:
         _draw(rows, table, report)
-    return 1 if broken else 0
+    return 1 if broken or missed else 0
+
+
+def _missed(rows):
+    """Yield the targets beside baseline and ideal that were not met."""
+    cases = {}
+    for row in rows:
+        case = (row.deployment, row.scenario, row.load)
+        cases.setdefault(case, {})[row.policy] = row
+    for case, by in cases.items():
+        p99 = {policy: row.p99 for policy, row in by.items()}
+        if p99["ours"] > p99["baseline"]:
+            yield f"{case}: p99 {p99['ours']} over the baseline's {p99['baseline']}"
+        if p99["ours"] > IDEAL_RATIO * p99["ideal"]:
+            yield f"{case}: p99 {p99['ours']} over 1.3 x {p99['ideal']} of one queue"
 
 
 def _table(rows):
