Read again: one class for a change, one way to the change in force, dead state out

Cause: the operators' API had a copy of the command it passes on; three commands of the client read the newest change each in its own way, and two of them fell over an index where nothing was set yet; the daemon listed control's messages anew and kept state that nothing read. Ruled out: merging the look-alike data classes and test fixtures, which only share a shape. Change: the API reads the command itself, the client has one current(), the daemon builds its lists from the core's. Test of the commands without settings: failed first with IndexError, now passes.

--- a/packages/snipebay-cli/src/snipebay_cli/__main__.py
+++ b/packages/snipebay-cli/src/snipebay_cli/__main__.py
@@ -140,21 +140,19 @@
         path: Place in the tree.
         common: Options of every command.
     """
-    result = common.client.settings()
+    result = common.client.current()
     if not isinstance(result, Success):
         return _fail(common, result.failure())
-    changes = result.unwrap()
-    if not changes:
-        return _fail(common, _missing("nothing is set yet"))
+    change = result.unwrap()
     if not path and not common.json:
-        print(f"# settings revision {changes[0].revision}\n{changes[0].text}", end="")
+        print(f"# settings revision {change.revision}\n{change.text}", end="")
         return EXIT_OK
-    part = YAML(typ="safe").load(changes[0].text)
+    part = YAML(typ="safe").load(change.text)
     for key in path.split(".") if path else ():
         if not isinstance(part, dict) or key not in part:
             return _fail(common, _missing(f"no {path!r} in the settings"))
         part = part[key]
-    document = {"revision": changes[0].revision, "value": part}
+    document = {"revision": change.revision, "value": part}
     _print(common, document, json.dumps(part, indent=2))
     return EXIT_OK
 
@@ -167,10 +165,10 @@
         service: Name of the service.
         common: Options of every command.
     """
-    result = common.client.settings()
+    result = common.client.current()
     if not isinstance(result, Success):
         return _fail(common, result.failure())
-    tree = parse_settings(result.unwrap()[0].text).unwrap()
+    tree = parse_settings(result.unwrap().text).unwrap()
     if service not in tree.services:
         return _fail(common, _missing(f"unknown service {service!r}"))
     routing = common.client.explain(service).value_or(None)
@@ -298,10 +296,10 @@
         note: Why.
         common: Options of every command.
     """
-    result = common.client.settings()
+    result = common.client.current()
     if not isinstance(result, Success):
         return _fail(common, result.failure())
-    current = result.unwrap()[0]
+    current = result.unwrap()
     text = _with_shift(current.text, service, source, target, share)
     return _apply_text(common, text, current.revision, "", note, False, True)
 
--- a/packages/snipebay-cli/src/snipebay_cli/client.py
+++ b/packages/snipebay-cli/src/snipebay_cli/client.py
@@ -47,6 +47,16 @@
         """Return ``Success`` of the newest change in a list or ``Failure``."""
         return self._get("/v1/settings", list[ChangeStatus])
 
+    def current(self):
+        """Return ``Success`` of the change in force or ``Failure``."""
+        return self.settings().bind(
+            lambda changes: (
+                Success(changes[0])
+                if changes
+                else Failure(ApiError("missing", "nothing is set yet"))
+            )
+        )
+
     def history(self):
         """Return ``Success`` of the accepted changes or ``Failure``."""
         return self._get("/v1/history", list[ChangeStatus])
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -30,7 +30,7 @@
 from snipebay_control.sessions import LeaseTiming, Sessions
 from snipebay_control.state import ControlState
 
-__all__ = ["ControlConfig", "ControlCore"]
+__all__ = ["RAFT_MESSAGES", "ControlConfig", "ControlCore"]
 
 RAFT_MESSAGES = (
     messages.AppendReply,
--- a/packages/snipebay-node/src/snipebay_node/api.py
+++ b/packages/snipebay-node/src/snipebay_node/api.py
@@ -35,17 +35,6 @@
     leaving: bool = False
 
 
-@attrs.frozen
-class _SettingsChange:
-    """Body of a change of the settings."""
-
-    change_id: str
-    base_revision: int
-    author: str
-    text: str
-    note: str = ""
-
-
 @attrs.frozen
 class _Hold:
     """Body of a drain by an operator, or of its end."""
@@ -142,10 +131,8 @@
                     self._query(exchange, what)
             case ("POST", "v1", "settings"):
                 if self._is_operator(exchange):
-                    change = self._body(exchange, _SettingsChange)
-                    self._command(
-                        exchange, messages.ApplySettings(**attrs.asdict(change))
-                    )
+                    change = self._body(exchange, messages.ApplySettings)
+                    self._command(exchange, change)
             case ("POST", "v1", "backends", backend_id, "hold"):
                 if self._is_operator(exchange):
                     hold = self._body(exchange, _Hold)
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -8,7 +8,7 @@
 import structlog
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.core.pollers import EPoll
-from snipebay_control.core import ControlConfig, ControlCore
+from snipebay_control.core import RAFT_MESSAGES, ControlConfig, ControlCore
 from snipebay_model import messages
 from snipebay_model.units import LOOKUP_TTL_S
 from snipebay_model.view import EntryRow
@@ -29,17 +29,13 @@
 
 TICK_S = 0.05
 FORGET_S = 30.0
+# Between control instances, which sign with the incarnation of their disk.
+SIGNED_MESSAGES = (*RAFT_MESSAGES, messages.Hello)
 CONTROL_MESSAGES = (
-    messages.AppendReply,
-    messages.AppendRequest,
+    *SIGNED_MESSAGES,
     messages.CommandRequest,
-    messages.Hello,
     messages.Renew,
-    messages.SnapshotRequest,
     messages.StatusRequest,
-    messages.TimeoutNow,
-    messages.VoteReply,
-    messages.VoteRequest,
 )
 
 log = structlog.get_logger(__name__)
@@ -69,14 +65,12 @@
         self.metrics = NodeMetrics()
         self.storage = None
         self.control = None
-        self.exit_code = 0
         self._controls = {peer.id: peer.internal for peer in settings.peers}
         self._newcomers = {}
         self._node_name = settings.id
         self._local = []
-        self._flushing = False
+        self._is_running_actions = False
         self._stopping_since_s = None
-        self._left_s = None
         self._warned = ""
         self._next_forget_s = 0.0
         seed = secrets.randbits(64)
@@ -155,22 +149,20 @@
 
     def run_actions(self):
         """Carry out what the cores decided until there is nothing left."""
-        if self._flushing:
+        if self._is_running_actions:
             return
-        self._flushing = True
+        self._is_running_actions = True
         try:
             busy = True
             while busy:
                 busy = self._work_control() | self._work_entry() | self._work_local()
         finally:
-            self._flushing = False
+            self._is_running_actions = False
 
     def _sender(self, body):
         """Return how we sign a message: control instances by their disk."""
-        signed = isinstance(body, CONTROL_MESSAGES) and not isinstance(
-            body, messages.Renew | messages.CommandRequest | messages.StatusRequest
-        )
-        return self._node_name if signed else self.settings.id
+        is_signed = isinstance(body, SIGNED_MESSAGES)
+        return self._node_name if is_signed else self.settings.id
 
     def _on_message(self, sender, body):
         self._handle(sender, body)
@@ -292,7 +284,7 @@
             self.tracing.close()
             if self.storage is not None:
                 self.storage.close()
-            self.root.stop(self.exit_code)
+            self.root.stop(0)
 
     @property
     def stop_wait_s(self):
--- a/packages/snipebay-node/tests/test_api.py
+++ b/packages/snipebay-node/tests/test_api.py
@@ -2,8 +2,11 @@
 
 import json
 import unittest
+from unittest import mock
 
-from snipebay_cli.__main__ import _with_shift
+from returns.result import Success
+from snipebay_cli.__main__ import EXIT_MISSING, _with_shift, app
+from snipebay_cli.client import OperatorClient
 from snipebay_model.messages import CommandReply, CommandRequest, Outcome, RenewReply
 from snipebay_model.settings import parse_settings
 from snipebay_model.view import EntryRow, ViewDelta
@@ -117,6 +120,16 @@
         self.assertEqual(self.answer()[0], 200)
 
 
+class TestCommandsBeforeAnySettings(unittest.TestCase):
+    def test_each_says_that_nothing_is_set_yet(self):
+        nothing = mock.Mock(return_value=Success([]))
+        with mock.patch.object(OperatorClient, "settings", nothing):
+            for words in (["get"], ["explain", "s"], ["shift", "s", "a", "b", "0.1"]):
+                with self.subTest(words=words):
+                    code = app(words, result_action="return_value")
+                    self.assertEqual(code, EXIT_MISSING)
+
+
 class TestShiftCommand(unittest.TestCase):
     def test_shift_is_set_changed_and_taken_out(self):
         once = _with_shift(TREE, "s", "a", "b", 0.2)
--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -308,7 +308,6 @@
             self._end(row, 502, UNKNOWN, reason)
         elif row.tries <= row.rules.retries and self.ctx.budget(service).spend():
             self.ctx.counts["retries"] += 1
-            row.is_waiting = True
             self.ctx.waiting[service][row.request_id] = row
         elif not row.rules.idempotent:
             self._begin_abort(row, now_s)
@@ -376,7 +375,6 @@
         self.ctx.act(Problem(request_id, status, NOT_RUN, detail, retry_after_s))
 
     def _stop_waiting(self, row):
-        row.is_waiting = False
         self.ctx.waiting[row.info.service].pop(row.request_id, None)
 
     def _forget(self, row):
--- a/packages/snipebay-policy/src/snipebay_policy/work.py
+++ b/packages/snipebay-policy/src/snipebay_policy/work.py
@@ -76,7 +76,6 @@
         attempts: Running tries by id.
         tried: Backend servers that failed it.
         tries: Number of tries so far.
-        is_waiting: True while it waits for a slot.
         is_shifted: True once it counts as sent to another region.
     """
 
@@ -92,7 +91,6 @@
     attempts: dict = attrs.Factory(dict)
     tried: set = attrs.Factory(set)
     tries: int = 0
-    is_waiting: bool = True
     is_shifted: bool = False
 
     @property
--- a/packages/snipebay-testbed/src/snipebay_testbed/bench.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/bench.py
@@ -92,7 +92,6 @@
         self.scenario = scenario
         self.service = check.name
         self.arrivals_rng = np.random.default_rng(seed + 99)
-        self.extra = ""
         host_class = POLICIES[policy]
         self.rig = SystemRig(
             self.deployment,
