--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 	$(BIN)/python -m snipebay_testbed.run_tests
 
 lint: $(VENV)/ready  ## check format, names and layers
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
 	$(BIN)/lint-imports
 
 soak: $(VENV)/ready  ## put the promises through more seeds
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -18,6 +18,7 @@
     StatusReply,
     StatusRequest,
 )
+from snipebay_model.plan import plan_faults
 from snipebay_model.settings import parse_settings
 from snipebay_model.status import (
     ClusterStatus,
@@ -49,7 +50,9 @@
 
     Attributes:
         node: Our name, ``id#incarnation``.
-        peers: Ids of all control instances, ours included.
+        peers: Ids of all control instances, ours included; with ``discovers``
+            only those to ask first.
+        discovers: True when control instances beyond ``peers`` may join.
         raft: Times of the replicated log.
         leases: Times of the leases.
         compact_entries: Applied log entries after which a snapshot is taken.
@@ -64,6 +67,7 @@
     compact_entries: int = 2_000
     hello_s: float = 0.2
     idle_reap_s: float = 60.0
+    discovers: bool = False
 
 
 class ControlCore:
@@ -93,11 +97,13 @@
         self._waiting = {}
         self._pending = set()
         self._joining = {}
+        self._contacts = set()
         self._hellos = {}
         self._pushed = {}
         self._pushed_floors = {}
         self._floors = {}
         self._drained = ()
+        self._demand = ()
         self._checked_settings = 0
         self._next_hello_s = now_s
         self._next_reap_s = 0.0
@@ -115,7 +121,7 @@
         """
         self._now_s = now_s
         if isinstance(body, RAFT_MESSAGES):
-            if instance_of(sender) in self.cfg.peers:
+            if self.cfg.discovers or instance_of(sender) in self.cfg.peers:
                 self.raft.step(sender, body)
         elif isinstance(body, Hello):
             self._on_hello(sender, body)
@@ -139,6 +145,7 @@
         # Worked out once a tick: both only grow, so a little late is safe.
         self._floors = {}
         self._drained = self.sessions.drained(self.state, now_s)
+        self._demand = self.sessions.demand(self.state)
         self._read_leases()
         self._expire()
         self._move_clock()
@@ -181,6 +188,11 @@
         """Instance id of the leader as far as known, or an empty string."""
         return instance_of(self.raft.leader)
 
+    @property
+    def controls(self):
+        """Ids of the control instances known here, in order."""
+        return tuple(sorted({instance_of(node) for node in self.raft.members}))
+
     @property
     def _serves(self):
         """True while this leader has taken over and can't have been replaced."""
@@ -193,13 +205,15 @@
             return
         self._next_hello_s = self._now_s + self.cfg.hello_s
         own_id = instance_of(self.cfg.node)
-        self._outbox += [
-            (peer, Hello(True)) for peer in self.cfg.peers if peer != own_id
-        ]
-        if len(self.cfg.peers) == 1:
+        contacts = dict.fromkeys((*self.cfg.peers, *self._contacts))
+        self._outbox += [(peer, Hello(True)) for peer in contacts if peer != own_id]
+        if not self.cfg.discovers and len(self.cfg.peers) == 1:
             self.raft.bootstrap({self.cfg.node: True})
 
     def _on_hello(self, sender, msg):
+        if self.cfg.discovers:
+            self._on_discovery(sender, msg)
+            return
         if instance_of(sender) not in self.cfg.peers:
             return
         if msg.fresh:
@@ -224,6 +238,16 @@
             nodes = [self.cfg.node, *(hello[0] for hello in others)]
             self.raft.bootstrap(dict.fromkeys(nodes, True))
 
+    def _on_discovery(self, sender, msg):
+        """Let a newcomer join, or learn as one whom else to ask."""
+        if self.raft.members:
+            if msg.fresh:
+                members = tuple(sorted(self.raft.members.items()))
+                self._outbox.append((sender, Hello(False, members)))
+                self._joining[instance_of(sender)] = sender
+            return
+        self._contacts.update(instance_of(node) for node, _ in msg.members)
+
     # --- leadership -------------------------------------------------------
 
     def _begin_leadership(self):
@@ -300,7 +324,7 @@
 
     def _on_renew(self, sender, msg):
         if not self._serves:
-            reply = RenewReply(self.leader_id, granted=False)
+            reply = RenewReply(self.leader_id, granted=False, controls=self.controls)
             self._outbox.append((sender, reply))
             return
         row = self.state.entries.get(msg.row.entry_id)
@@ -338,6 +362,8 @@
             quorum_revision=self.state.revision,
             delta=self.state.delta(base),
             drained=self._drained,
+            controls=self.controls,
+            demand=self._demand,
         )
 
     def _settled(self, region):
@@ -365,12 +391,52 @@
             return Outcome("invalid", detail=str(exc))
         if not self.state.accepts(cmd):
             return Outcome("invalid", detail=f"{msg.kind!r} is not a command")
+        if isinstance(cmd, messages.ApplyPlan):
+            return self._plan_refusal(cmd)
+        if isinstance(cmd, messages.PutBackend):
+            return self._renewal(cmd.row)
         if isinstance(cmd, messages.ApplySettings):
             result = parse_settings(cmd.text)
             if not isinstance(result, Success):
                 return Outcome("invalid", detail=str(result.failure()))
         return None
 
+    def _plan_refusal(self, cmd):
+        """Return why a plan can't be proposed, or None when it can."""
+        if self.state.has_applied(cmd.digest):
+            return Outcome("ok", self.state.revision)
+        faults = plan_faults(cmd.plan)
+        return Outcome("invalid", detail="; ".join(faults)) if faults else None
+
+    def _renewal(self, row):
+        """Return the outcome of an announcement that changes nothing, or None."""
+        known = self.state.backends.get(row.backend_id)
+        if known is None:
+            return self._unknown_service(row)
+        if row.sequence < known.sequence:
+            return None
+        # The time for which it is cold runs down by itself.
+        is_cooling = 0 < row.cold_s <= known.cold_s
+        same = attrs.evolve(
+            row,
+            held=known.held,
+            since_revision=known.since_revision,
+            cold_s=known.cold_s if is_cooling else row.cold_s,
+        )
+        if same != known:
+            return None
+        self._grant_backend(row)
+        return Outcome("ok", self.state.revision)
+
+    def _unknown_service(self, row):
+        """Return the refusal of a newcomer that no service of the plan is for."""
+        plan = self.state.plan
+        if not self.cfg.discovers:
+            return None
+        if plan is None or all(row.service != known.name for known in plan.services):
+            return Outcome("invalid", detail=f"unknown service {row.service!r}")
+        return None
+
     def _propose(self, cmd):
         return self._propose_encoded(*encode_body(cmd))
 
@@ -405,15 +471,16 @@
 
     def _answer_status(self, sender, request):
         answer = {
-            "status": self.status,
-            "settings": lambda: list(self.state.changes)[-1:],
-            "history": lambda: list(self.state.changes),
+            "status": lambda: msgspec.json.encode(self.status()),
+            "plan": lambda: msgspec.msgpack.encode(self.state.read_plan()),
+            "settings": lambda: msgspec.json.encode(list(self.state.changes)[-1:]),
+            "history": lambda: msgspec.json.encode(list(self.state.changes)),
         }.get(request.what)
         if answer is None:
             outcome, data = Outcome("invalid", detail=f"no {request.what!r}"), b""
         else:
             outcome = Outcome("ok", self.state.revision)
-            data = msgspec.json.encode(answer())
+            data = answer()
         reply = StatusReply(request.request_id, outcome, self.leader_id, data)
         self._outbox.append((sender, reply))
 
--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -14,11 +14,16 @@
         entry_lease_s: Lease of an entry instance, from when it asked.
         settle_s: Further time in which work that it started may end.
         reap_s: Between two commands that move the cluster's clock.
+        backend_lease_s: Lease of a backend server whose service sets none.
+        needs_witness: True when an entry instance may be removed only while
+            another one of its region can tell it so, since it may hold slots.
     """
 
     entry_lease_s: float = 3.0
     settle_s: float = 2.0
     reap_s: float = 1.0
+    backend_lease_s: float = 3.0
+    needs_witness: bool = True
 
 
 @attrs.define
@@ -74,9 +79,7 @@
             row
             for row in rows
             if row not in live
-            and any(
-                other.region == row.region and self._knows(row, other) for other in live
-            )
+            and (not self.timing.needs_witness or self._has_witness(row, live))
         ]
 
     def is_live(self, entry_id, now_s):
@@ -102,6 +105,16 @@
             return state.revision
         return min(msg.applied if msg else 0 for msg in reports)
 
+    def demand(self, state):
+        """Return rows of service, region and the requests that arrived there."""
+        totals = {}
+        for row in state.entries.values():
+            msg = self._report(row)
+            for service, count in (msg.arrivals if msg else {}).items():
+                key = (service, row.region)
+                totals[key] = totals.get(key, 0.0) + count
+        return tuple((*key, totals[key]) for key in sorted(totals))
+
     def settled(self, state, region):
         """Return the revision that every entry instance of a region has settled."""
         reports = [
@@ -133,6 +146,12 @@
             and backend.backend_id not in msg.busy_leaving
         )
 
+    def _has_witness(self, row, live):
+        """Return True when a live instance can tell another one to stop."""
+        return any(
+            other.region == row.region and self._knows(row, other) for other in live
+        )
+
     def _knows(self, row, other):
         """Return True when an entry instance's view holds another one."""
         msg = self._report(row)
@@ -149,4 +168,4 @@
         return now_s + self.timing.entry_lease_s + self.timing.settle_s
 
     def _backend_end(self, service, now_s):
-        return now_s + self.backend_lease_s.get(service, self.timing.entry_lease_s)
+        return now_s + self.backend_lease_s.get(service, self.timing.backend_lease_s)
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -8,16 +8,20 @@
 from snipebay_model import messages
 from snipebay_model.codec import decode_body
 from snipebay_model.messages import Outcome
+from snipebay_model.plan import Plan, PlanReading
 from snipebay_model.status import ChangeStatus
 from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
 
 from snipebay_control.claims import ClaimRow, ClaimTable
+from snipebay_control.registry import Registry, Tombstone
 
 __all__ = ["ControlState"]
 
 JOURNAL_ROWS = 2_048
 CHANGES_KEPT = 200
 CHANGE_IDS_KEPT = 10_000
+# Far more changes than can be made while one is being sent again.
+DIGESTS_SHOWN = 256
 
 
 @attrs.define
@@ -33,6 +37,10 @@
     changes: list[ChangeStatus]
     change_outcomes: list[tuple[str, Outcome]]
     claims: list[ClaimRow]
+    plan: Plan | None = None
+    plan_digests: list[str] = attrs.Factory(list)
+    evacuated: list[str] = attrs.Factory(list)
+    tombstones: list[Tombstone] = attrs.Factory(list)
 
 
 class ControlState:
@@ -43,14 +51,20 @@
         self.settings_revision = 0
         self.settings = ""
         self.now_ms = 0
-        self.backends = {}
+        self.registry = Registry()
+        self.backends = self.registry.rows
         self.entries = {}
+        self.plan = None
+        self.evacuated = set()
+        self._plan_digests = collections.OrderedDict()
         self.changes = collections.deque(maxlen=CHANGES_KEPT)
         self.claims = ClaimTable()
         self._change_outcomes = collections.OrderedDict()
         self._journal = collections.deque(maxlen=JOURNAL_ROWS)
         self._handlers = {
             messages.ApplySettings: self._apply_settings,
+            messages.ApplyPlan: self._apply_plan,
+            messages.Evacuate: self._evacuate,
             messages.PutBackend: self._put_backend,
             messages.HoldBackend: self._hold_backend,
             messages.RemoveBackend: self._remove_backend,
@@ -85,6 +99,10 @@
             list(self.changes),
             list(self._change_outcomes.items()),
             list(self.claims.rows.values()),
+            self.plan,
+            list(self._plan_digests),
+            sorted(self.evacuated),
+            list(self.registry.tombstones.values()),
         )
         return msgspec.msgpack.encode(image)
 
@@ -99,7 +117,10 @@
         state.settings_revision = image.settings_revision
         state.settings = image.settings
         state.now_ms = image.now_ms
-        state.backends = {row.backend_id: row for row in image.backends}
+        state.registry.load(image.backends, image.tombstones)
+        state.plan = image.plan
+        state._plan_digests.update(dict.fromkeys(image.plan_digests))
+        state.evacuated = set(image.evacuated)
         state.entries = {row.entry_id: row for row in image.entries}
         state.changes.extend(image.changes)
         state._change_outcomes.update(image.change_outcomes)
@@ -136,6 +157,10 @@
             backends_gone=tuple(i for i in backends if i not in self.backends),
             entries=tuple(self.entries[i] for i in entries if i in self.entries),
             entries_gone=tuple(i for i in entries if i not in self.entries),
+            plan=self._plan_for_entries() if ("plan", "") in rows else None,
+            evacuated=(
+                tuple(sorted(self.evacuated)) if ("evacuated", "") in rows else None
+            ),
         )
 
     def _whole(self):
@@ -147,8 +172,13 @@
             settings_revision=self.settings_revision,
             backends=tuple(self.backends.values()),
             entries=tuple(self.entries.values()),
+            plan=self._plan_for_entries(),
+            evacuated=tuple(sorted(self.evacuated)),
         )
 
+    def _plan_for_entries(self):
+        return self.plan.without_source() if self.plan else None
+
     def _touch(self, table, row_id=""):
         """Count a change that entry instances must hear of."""
         self.revision += 1
@@ -194,6 +224,39 @@
             del self._change_outcomes[old]
         return outcome
 
+    def read_plan(self):
+        """Return the plan and the digests of the newest changes."""
+        return PlanReading(self.plan, tuple(self._plan_digests)[-DIGESTS_SHOWN:])
+
+    def has_applied(self, digest):
+        """Return True for a change of the plan that was accepted."""
+        return digest in self._plan_digests
+
+    def _apply_plan(self, cmd):
+        version = self.plan.version if self.plan else 0
+        if cmd.digest in self._plan_digests:
+            return Outcome("ok", self.revision)
+        if cmd.base_version != version:
+            detail = f"base version {cmd.base_version!r} is not the current {version!r}"
+            return Outcome("conflict", self.revision, detail)
+        if cmd.plan.version <= version:
+            detail = f"version {cmd.plan.version!r} is not above {version!r}"
+            return Outcome("invalid", self.revision, detail)
+        self.plan = cmd.plan
+        self._plan_digests[cmd.digest] = None
+        if len(self._plan_digests) > CHANGE_IDS_KEPT:
+            self._plan_digests.popitem(last=False)
+        return Outcome("ok", self._touch("plan"))
+
+    def _evacuate(self, cmd):
+        if cmd.evacuated == (cmd.domain in self.evacuated):
+            return Outcome("ok", self.revision)
+        if cmd.evacuated:
+            self.evacuated.add(cmd.domain)
+        else:
+            self.evacuated.discard(cmd.domain)
+        return Outcome("ok", self._touch("evacuated"))
+
     def _put_backend(self, cmd):
         old = self.backends.get(cmd.row.backend_id)
         row = attrs.evolve(
@@ -203,6 +266,11 @@
         )
         if row == old:
             return Outcome("ok", self.revision)
+        if self.registry.is_stale(row):
+            return Outcome("stale", self.revision, "a newer incarnation is known")
+        for backend_id in self.registry.replaced_by(row):
+            del self.backends[backend_id]
+            self._touch("backends", backend_id)
         return self._store_backend(row)
 
     def _hold_backend(self, cmd):
@@ -220,7 +288,8 @@
         return Outcome("ok", revision)
 
     def _remove_backend(self, cmd):
-        if self.backends.pop(cmd.backend_id, None) is None:
+        is_withdrawn = cmd.reason == messages.WITHDRAWN
+        if not self.registry.remove(cmd.backend_id, is_withdrawn=is_withdrawn):
             return Outcome("missing", self.revision)
         return Outcome("ok", self._touch("backends", cmd.backend_id))
 
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -2,16 +2,19 @@
 
 import attrs
 
+from snipebay_model.plan import Plan
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
 
 __all__ = [
     "Abort",
     "AppendReply",
     "AppendRequest",
+    "ApplyPlan",
     "ApplySettings",
     "Claim",
     "CommandReply",
     "CommandRequest",
+    "Evacuate",
     "Finish",
     "Hello",
     "HoldBackend",
@@ -36,6 +39,9 @@
     "VoteRequest",
 ]
 
+# Reason of a removal that the backend server itself asked for.
+WITHDRAWN = "withdrawn"
+
 
 # --- replicated log -------------------------------------------------------
 
@@ -147,6 +153,29 @@
     note: str = ""
 
 
+@attrs.frozen
+class ApplyPlan:
+    """Replaces the traffic plan if it still is at ``base_version``.
+
+    Attributes:
+        digest: Digest of the change as it was sent, to know a resend by.
+        base_version: Version that the change builds on, 0 for none.
+        plan: The plan after the change.
+    """
+
+    digest: str
+    base_version: int
+    plan: Plan
+
+
+@attrs.frozen
+class Evacuate:
+    """Keeps requests from the backend servers of a failure domain, or ends that."""
+
+    domain: str
+    evacuated: bool
+
+
 @attrs.frozen
 class PutBackend:
     """Adds or changes a backend server."""
@@ -317,6 +346,7 @@
         backends_seen: Backend servers that renewed here since the last message.
         busy_leaving: Leaving backend servers that still run work from here.
         load_reports: Requests in flight by service, for operators.
+        arrivals: Moving average of requests per second by service.
     """
 
     row: EntryRow
@@ -326,6 +356,7 @@
     backends_seen: tuple[str, ...] = ()
     busy_leaving: tuple[str, ...] = ()
     load_reports: dict[str, int] = attrs.Factory(dict)
+    arrivals: dict[str, float] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -342,6 +373,8 @@
         delta: Changes the entry instance lacks, or None.
         drained: Backend servers that no live entry instance uses any more.
         refused: Why the sender may not join, or empty.
+        controls: Control instances to turn to, the leader among them.
+        demand: Rows of service, region and requests per second arriving there.
     """
 
     leader: str
@@ -353,6 +386,8 @@
     delta: ViewDelta | None = None
     drained: tuple[str, ...] = ()
     refused: str = ""
+    controls: tuple[str, ...] = ()
+    demand: tuple[tuple[str, str, float], ...] = ()
 
 
 # --- between entry instances ----------------------------------------------
--- a/packages/snipebay-model/src/snipebay_model/view.py
+++ b/packages/snipebay-model/src/snipebay_model/view.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from snipebay_model.plan import Plan
+
 __all__ = ["BackendRow", "EntryRow", "View", "ViewDelta"]
 
 
@@ -19,6 +21,9 @@
         leaving: True once it asked to leave.
         held: True while an operator drains it.
         since_revision: View revision of the last change of this row.
+        born_ms: Start of this incarnation in Unix milliseconds, 0 if not told.
+        cold_s: Time for which it is still cold, from when the row was made.
+        sequence: Number of the announcement that changed the row last.
     """
 
     backend_id: str
@@ -30,6 +35,9 @@
     leaving: bool = False
     held: bool = False
     since_revision: int = 0
+    born_ms: int = 0
+    cold_s: float = 0.0
+    sequence: int = attrs.field(default=0, eq=False)
 
     @property
     def is_open(self):
@@ -72,6 +80,8 @@
         settings: Text of the settings tree.
         backends: Rows ordered by id.
         entries: Rows ordered by id.
+        plan: Traffic plan, None before the first one.
+        evacuated: Failure domains whose backend servers get no requests.
     """
 
     revision: int = 0
@@ -79,6 +89,8 @@
     settings: str = ""
     backends: tuple[BackendRow, ...] = ()
     entries: tuple[EntryRow, ...] = ()
+    plan: Plan | None = None
+    evacuated: tuple[str, ...] = ()
 
     def apply(self, delta):
         """Return this view moved forward by ``delta``.
@@ -114,6 +126,8 @@
                 delta.entries_gone,
                 "entry_id",
             ),
+            plan=delta.plan or self.plan,
+            evacuated=(self.evacuated if delta.evacuated is None else delta.evacuated),
         )
 
 
@@ -131,6 +145,8 @@
         backends_gone: Ids of rows removed.
         entries: Rows added or changed.
         entries_gone: Ids of rows removed.
+        plan: New traffic plan, or None when unchanged.
+        evacuated: Evacuated failure domains, or None when unchanged.
     """
 
     base: int
@@ -142,6 +158,8 @@
     backends_gone: tuple[str, ...] = ()
     entries: tuple[EntryRow, ...] = ()
     entries_gone: tuple[str, ...] = ()
+    plan: Plan | None = None
+    evacuated: tuple[str, ...] | None = None
 
 
 def _merge(rows, changed, gone, key):
--- /dev/null
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -0,0 +1,277 @@
+"""Forwards requests on routes between callers and backend servers."""
+
+import attrs
+import structlog
+from snipebay_policy.work import Cancel, Dispatch, Problem, Relay
+
+from snipebay_node.dialect import Dialect
+from snipebay_node.upstream import (
+    MISDIRECTED,
+    UpstreamPool,
+    UpstreamRequest,
+    end_to_end,
+)
+
+__all__ = ["Forwarder"]
+
+# An answer up to this size is relayed once it is whole, so that one that breaks
+# off can be asked for again; a longer one is streamed.
+HELD_ANSWER_BYTES = 64 * 1024
+
+log = structlog.get_logger(__name__)
+
+
+@attrs.define
+class _Answer:
+    """What has come of an attempt's answer."""
+
+    status: int
+    headers: list
+    held: bytearray = attrs.Factory(bytearray)
+    is_told: bool = False
+
+
+@attrs.define
+class _Running:
+    """A request on its way through this process."""
+
+    exchange: object
+    request_id: str
+    arrived_s: float
+    relayed: int = 0
+
+
+class Forwarder:
+    """Application of the HTTP server for callers of routes.
+
+    Args:
+        core: Routed core.
+        hub: Makes connections.
+        clock: Function returning the time in seconds.
+        metrics: Metrics of the process.
+        run_actions: Function that carries out the actions of the cores.
+        dialect: Header names of callers and backend servers.
+    """
+
+    def __init__(self, core, hub, clock, metrics, run_actions, dialect=None):
+        self.core = core
+        self.clock = clock
+        self.metrics = metrics
+        self.run_actions = run_actions
+        self.dialect = dialect or Dialect()
+        self.pool = UpstreamPool(hub, clock, self, self.dialect)
+        self._running = {}
+        self._request_of = {}
+        self._answers = {}
+        self._handlers = {
+            Dispatch: self._dispatch,
+            Cancel: self._cancel,
+            Relay: self._relay,
+            Problem: self._problem,
+        }
+
+    @property
+    def is_idle(self):
+        return not self._running
+
+    def tick(self, now_s):
+        self.pool.tick(now_s)
+
+    # --- from callers -----------------------------------------------------
+
+    def check_head(self, exchange):
+        """Set the body limit of a request."""
+        exchange.body_limit = self.core.limits.body_bytes
+
+    def handle(self, exchange):
+        """Take in a whole request."""
+        now_s = self.clock()
+        left = exchange.header(self.dialect.deadline_ms.decode())
+        if left and not left.isdigit():
+            name = self.dialect.deadline_ms.decode()
+            exchange.problem(400, "not-run", f"{name}: {left!r} is not a whole number")
+            return
+        key = exchange.request_id
+        name = exchange.header(self.dialect.request_id.decode())
+        self._running[key] = _Running(exchange, name, now_s)
+        exchange.on_gone = lambda: self._caller_gone(key)
+        exchange.stream.on_drained = lambda: self._resume(key)
+        timeout_s = int(left) / 1_000 if left else None
+        host = exchange.header("host")
+        self.core.forward.arrive(key, host, exchange.path, timeout_s, now_s)
+        self.run_actions()
+
+    def carry_out(self, action):
+        """Do what the core decided."""
+        self._handlers[type(action)](action)
+
+    def _caller_gone(self, key):
+        running = self._running.pop(key, None)
+        if running is not None:
+            self._note(running, "caller gone")
+            self.core.forward.caller_gone(key, self.clock())
+            self.run_actions()
+
+    # --- actions ----------------------------------------------------------
+
+    def _dispatch(self, action):
+        running = self._running.get(action.request_id)
+        if running is None:
+            self.core.forward.not_run(action.attempt_id, "caller left", self.clock())
+            return
+        exchange = running.exchange
+        self._request_of[action.attempt_id] = action.request_id
+        left_ms = max(1, int((action.deadline_s - self.clock()) * 1_000))
+        self.pool.start(
+            UpstreamRequest(
+                action.attempt_id,
+                action.backend.address,
+                exchange.method,
+                exchange.target,
+                self._headers(exchange, action.backend.backend_id, left_ms),
+                bytes(exchange.body),
+                running.request_id.encode("latin-1"),
+            )
+        )
+
+    def _headers(self, exchange, backend_id, left_ms):
+        """Return the headers that go to the backend server."""
+        dialect = self.dialect
+        replaced = (dialect.deadline_ms, dialect.target, b"content-length", b"expect")
+        headers = [
+            (name, value)
+            for name, value in end_to_end(exchange.headers)
+            if name not in replaced
+        ]
+        if exchange.body or exchange.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"content-length", str(len(exchange.body)).encode()))
+        headers.append((dialect.deadline_ms, str(left_ms).encode()))
+        if dialect.target:
+            headers.append((dialect.target, backend_id.encode()))
+        return headers
+
+    def _cancel(self, action):
+        self.pool.cancel(action.attempt_id)
+        self._forget_attempt(action.attempt_id)
+
+    def _relay(self, action):
+        running = self._running.get(action.request_id)
+        answer = self._answers.get(action.attempt_id)
+        if running is None or answer is None:
+            return
+        running.relayed = action.attempt_id
+        running.exchange.start(answer.status, end_to_end(answer.headers))
+        running.exchange.write(bytes(answer.held))
+        answer.held.clear()
+
+    def _problem(self, action):
+        running = self._running.pop(action.request_id, None)
+        if running is None:
+            return
+        exchange = running.exchange
+        if exchange.is_started:
+            exchange.cut()
+        else:
+            exchange.problem(
+                action.status, action.outcome, action.detail, action.retry_after_s
+            )
+        self._note(running, action.detail, status=action.status)
+
+    # --- from backend servers ---------------------------------------------
+
+    def may_write(self, attempt_id):
+        return self.core.forward.may_write(attempt_id, self.clock())
+
+    def on_head(self, attempt_id, status, headers):
+        self._answers[attempt_id] = _Answer(status, headers)
+        self._note_load(attempt_id, dict(headers))
+
+    def on_data(self, attempt_id, data):
+        answer = self._answers.get(attempt_id)
+        if answer is None:
+            return
+        running = self._running.get(self._request_of.get(attempt_id))
+        if running is not None and running.relayed == attempt_id:
+            running.exchange.write(data)
+            if running.exchange.stream.is_congested:
+                self.pool.pause(attempt_id, True)
+            return
+        answer.held += data
+        if len(answer.held) > HELD_ANSWER_BYTES:
+            self._tell(attempt_id, answer)
+
+    def on_end(self, attempt_id, status, headers, body):
+        answer = self._answers.get(attempt_id)
+        if answer is None:
+            return
+        self._tell(attempt_id, answer)
+        request_id = self._forget_attempt(attempt_id)
+        running = self._running.get(request_id)
+        if running is not None and running.relayed == attempt_id:
+            del self._running[request_id]
+            running.exchange.finish()
+            self._note(running, "answered", status=status)
+        self.core.forward.finished(attempt_id, self.clock())
+        self.run_actions()
+
+    def on_not_run(self, attempt_id, status, headers):
+        self._note_load(attempt_id, headers)
+        self._forget_attempt(attempt_id)
+        self.core.forward.not_run(
+            attempt_id,
+            f"the backend server refused it with {status}",
+            self.clock(),
+            is_elsewhere=status == MISDIRECTED,
+        )
+        self.run_actions()
+
+    def on_failure(self, attempt_id, reason):
+        request_id = self._forget_attempt(attempt_id)
+        running = self._running.get(request_id)
+        if running is not None and running.relayed == attempt_id:
+            del self._running[request_id]
+            running.exchange.cut()
+            self._note(running, reason, status=0)
+        self.core.forward.failed(attempt_id, reason, self.clock())
+        self.run_actions()
+
+    # --- shared -----------------------------------------------------------
+
+    def _tell(self, attempt_id, answer):
+        """Let the core decide on an answer that is whole, or too long to hold."""
+        if not answer.is_told:
+            answer.is_told = True
+            self.core.forward.answered(attempt_id, answer.status, self.clock())
+            self.run_actions()
+
+    def _note_load(self, attempt_id, headers):
+        """Hand on a backend server's word on its load."""
+        parts = headers.get(self.dialect.load, b"").split(b",")
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            running, waiting = int(parts[0]), int(parts[1])
+            self.core.forward.loaded(attempt_id, running, waiting, self.clock())
+
+    def _resume(self, key):
+        running = self._running.get(key)
+        if running is not None and running.relayed:
+            self.pool.pause(running.relayed, False)
+
+    def _forget_attempt(self, attempt_id):
+        """Forget an attempt and return its request."""
+        self._answers.pop(attempt_id, None)
+        return self._request_of.pop(attempt_id, None)
+
+    def _note(self, running, outcome, status=0):
+        """Count how a request ended, and log one that failed."""
+        elapsed_s = self.clock() - running.arrived_s
+        label = str(status) if status else "cut"
+        self.metrics.requests.labels("routed", label).inc()
+        self.metrics.latency.labels("routed").observe(elapsed_s)
+        if outcome != "answered":
+            log.info(
+                "request ended",
+                request=running.request_id,
+                outcome=outcome,
+                status=status,
+                elapsed_s=round(elapsed_s, 3),
+            )
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -5,148 +5,22 @@
 the metrics address, see docs/design/http.md.
 """
 
+import collections
 import itertools
-import json
 
 import h11
+from snipebay_model.plan import RequestLimits
 from snipebay_model.units import HEAD_LIMIT_BYTES
 
-__all__ = ["Exchange", "HttpServer", "problem_body"]
+from snipebay_node.exchange import PROBLEM_TYPE, Exchange, problem_body
+
+__all__ = ["HttpServer"]
 
-HEAD_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 30.0
-IDLE_TIMEOUT_S = 75.0
 PIPELINE_LIMIT_BYTES = 64 * 1024
-PROBLEM_TYPE = "application/problem+json"
-_REASONS = {
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    428: "Precondition Required",
-    431: "Request Header Fields Too Large",
-    501: "Not Implemented",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
-
-def problem_body(status, outcome, detail, **extra):
-    """Return an RFC 9457 problem document."""
-    document = {
-        "type": f"urn:snipebay:{outcome}",
-        "title": _REASONS.get(status, "Error"),
-        "status": status,
-        "outcome": outcome,
-        "detail": detail,
-        **extra,
-    }
-    return json.dumps(document).encode()
-
-
-class Exchange:
-    """One request and its answer.
-
-    Attributes:
-        request_id: Id unique in this process.
-        method: Method as text.
-        target: Path and query as text.
-        headers: Pairs of lower-case name and value, as bytes.
-        body: Whole body.
-        body_limit: Greatest body taken, set when the head is checked.
-        on_gone: Function called when the caller leaves before the answer ends.
-    """
-
-    def __init__(self, connection, request_id, event):
-        self.connection = connection
-        self.request_id = request_id
-        self.method = event.method.decode("ascii")
-        self.target = event.target.decode("ascii", "replace")
-        self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
-        self.body = bytearray()
-        self.body_limit = 0
-        self.on_gone = None
-        self.is_started = False
-        self.is_done = False
-        self.span = None
-
-    @property
-    def path(self):
-        return self.target.partition("?")[0]
-
-    @property
-    def query(self):
-        return self.target.partition("?")[2]
-
-    @property
-    def stream(self):
-        return self.connection.stream
-
-    def header(self, name):
-        """Return a header's value as text, or an empty string."""
-        wanted = name.lower().encode()
-        values = [value for key, value in self.headers if key == wanted]
-        return values[0].decode("latin-1") if values else ""
-
-    def respond(self, status, body=b"", content_type="application/json", headers=()):
-        """Send a whole answer."""
-        lines = [
-            ("Content-Type", content_type),
-            ("Content-Length", str(len(body))),
-            *headers,
-        ]
-        self.start(status, lines)
-        self.write(body)
-        self.finish()
-
-    def respond_json(self, status, document):
-        """Send a whole answer as JSON."""
-        self.respond(status, json.dumps(document).encode())
-
-    def problem(self, status, outcome, detail, retry_after_s=None, **extra):
-        """Send a problem document."""
-        headers = []
-        if retry_after_s is not None:
-            headers.append(("Retry-After", str(retry_after_s)))
-        headers.append(("Snipebay-Outcome", outcome))
-        body = problem_body(status, outcome, detail, **extra)
-        self.respond(status, body, PROBLEM_TYPE, headers)
-
-    def start(self, status, headers):
-        """Send the head of an answer."""
-        if self.is_done or self.is_started:
-            return
-        self.is_started = True
-        self.connection.send(
-            h11.Response(status_code=status, headers=list(headers), reason=b"")
-        )
-
-    def write(self, data):
-        """Send a part of the body."""
-        if not self.is_done and data:
-            self.connection.send(h11.Data(data=bytes(data)))
-
-    def finish(self):
-        """End the answer."""
-        if not self.is_done:
-            self.is_done = True
-            self.connection.send(h11.EndOfMessage())
-            self.connection.answered()
-
-    def cut(self):
-        """Break the answer off, so that the caller can see that it is not whole."""
-        self.is_done = True
-        self.connection.stream.abort()
-
-    def gone(self):
-        """Tell whoever works on it that the caller has left."""
-        if not self.is_done:
-            self.is_done = True
-            if self.on_gone is not None:
-                self.on_gone()
+# Requests of one connection that are worked on at once.
+PIPELINE_MOST = 16
+DEFAULT_LIMITS = RequestLimits(head_bytes=HEAD_LIMIT_BYTES)
 
 
 class HttpServer:
@@ -156,11 +30,13 @@
         app: Has ``check_head(exchange)``, which sets the body limit or answers
             at once, and ``handle(exchange)``.
         clock: Function returning the time in seconds.
+        limits: Function returning the :class:`RequestLimits` in force.
     """
 
-    def __init__(self, app, clock):
+    def __init__(self, app, clock, limits=lambda: DEFAULT_LIMITS):
         self.app = app
         self.clock = clock
+        self.limits = limits
         self.connections = set()
         self.is_stopping = False
         self._ids = itertools.count(1)
@@ -191,36 +67,42 @@
     def __init__(self, server, stream):
         self.server = server
         self.stream = stream
-        self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEAD_LIMIT_BYTES
-        )
-        self.exchange = None
-        self._waiting = False
-        self._pending_bytes = 0
+        self._parser = self._new_parser()
+        self._reading = None
+        self._pipeline = collections.deque()
+        self._is_last = False
         self._busy = False
-        self._set_deadline(HEAD_TIMEOUT_S)
+        self._set_deadline(server.limits().head_timeout_s)
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
 
     # --- from the socket --------------------------------------------------
 
     def _on_data(self, data):
-        if self._waiting:
-            # Pipelined requests wait for their turn, within a bound.
-            self._pending_bytes += len(data)
-            if self._pending_bytes > PIPELINE_LIMIT_BYTES:
-                self.stream.pause()
+        if self._is_last:
+            return
+        if len(self._pipeline) >= PIPELINE_MOST:
+            self.stream.pause()
+        if not self._pipeline and self._reading is None and self._is_between:
+            self._set_deadline(self.server.limits().head_timeout_s)
         try:
-            self.http.receive_data(data)
+            self._parser.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError):
             self.stream.abort()
             return
         self._pull()
 
+    @property
+    def _is_between(self):
+        """True before the first byte of a request."""
+        return not self._parser.trailing_data[0]
+
     def _on_closed(self):
         self.server.connections.discard(self)
-        if self.exchange is not None:
-            self.exchange.gone()
+        for exchange in list(self._pipeline):
+            exchange.gone()
+        if self._reading is not None:
+            self._reading.gone()
 
     def _pull(self):
         """Take events from the parser until it needs more bytes."""
@@ -228,8 +110,8 @@
             return
         self._busy = True
         try:
-            while self.stream.is_open and not self._waiting:
-                event = self.http.next_event()
+            while self._may_read:
+                event = self._parser.next_event()
                 if event is h11.NEED_DATA:
                     self._invite_body()
                     return
@@ -241,93 +123,158 @@
         finally:
             self._busy = False
 
+    @property
+    def _may_read(self):
+        room = len(self._pipeline) < PIPELINE_MOST
+        return self.stream.is_open and not self._is_last and room
+
     def _invite_body(self):
-        if self.http.they_are_waiting_for_100_continue:
-            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        waits = self._parser.they_are_waiting_for_100_continue
+        is_first = bool(self._pipeline) and self._pipeline[0] is self._reading
+        if waits and is_first:
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            self.stream.write(self._parser.send(informational))
 
     def _take(self, event):
         if isinstance(event, h11.Request):
             self._on_head(event)
         elif isinstance(event, h11.Data):
             self._on_body(event.data)
-        elif isinstance(event, h11.EndOfMessage) and not self.exchange.is_done:
-            self._waiting = True
-            self._set_deadline(None)
-            self.server.app.handle(self.exchange)
+        elif isinstance(event, h11.EndOfMessage) and self._reading is not None:
+            self._on_whole()
 
     def _on_head(self, event):
-        self.exchange = Exchange(self, self.server.next_id(), event)
-        fault = _framing_fault(self.exchange)
+        exchange = Exchange(self, self._parser, self.server.next_id(), event)
+        self._reading = exchange
+        fault = _framing_fault(exchange)
         if fault:
             self._refuse(400, fault)
             return
         self._set_deadline(BODY_TIMEOUT_S)
-        self.server.app.check_head(self.exchange)
+        self._pipeline.append(exchange)
+        self.server.app.check_head(exchange)
 
     def _on_body(self, data):
-        if self.exchange.is_done:
+        exchange = self._reading
+        if exchange is None or exchange.is_done:
             return
-        self.exchange.body += data
-        if len(self.exchange.body) > self.exchange.body_limit:
-            limit = self.exchange.body_limit
+        exchange.body += data
+        if len(exchange.body) > exchange.body_limit:
+            limit = exchange.body_limit
             self._refuse(413, f"the body is over the limit of {limit} bytes")
 
+    def _on_whole(self):
+        """Hand a whole request on, and read the next one beside it."""
+        exchange, self._reading = self._reading, None
+        exchange.is_whole = True
+        self._set_deadline(None)
+        if self._parser.their_state is h11.DONE:
+            rest, is_closed = self._parser.trailing_data
+            self._parser = self._new_parser()
+            if rest:
+                self._parser.receive_data(rest)
+            if is_closed:
+                self._parser.receive_data(b"")
+        else:
+            self._is_last = True
+        self._handle_next()
+
+    def _handle_next(self):
+        """Give the application what may run beside the requests before it."""
+        for i, exchange in enumerate(list(self._pipeline)):
+            if not exchange.is_whole:
+                return
+            if i and not exchange.is_safe:
+                return
+            if not exchange.is_handled and not exchange.is_done:
+                exchange.is_handled = True
+                self.server.app.handle(exchange)
+            if not exchange.is_safe:
+                return
+
     # --- to the socket ----------------------------------------------------
 
-    def send(self, event):
-        """Send an HTTP event."""
+    def send(self, exchange, event):
+        """Send an HTTP event of an answer, or keep it until its turn."""
         if not self.stream.is_open:
             return
-        if isinstance(event, h11.Response) and self.server.is_stopping:
+        if isinstance(event, h11.Response) and self._must_close_after(exchange):
             event = h11.Response(
                 status_code=event.status_code,
                 headers=[*event.headers, (b"connection", b"close")],
                 reason=b"",
             )
         try:
-            data = self.http.send(event)
+            data = exchange.parser.send(event)
         except h11.LocalProtocolError:
             # Such as a body longer than its announced length.
             self.stream.abort()
             return
-        if data:
+        if not data:
+            return
+        if self._pipeline and self._pipeline[0] is exchange:
             self.stream.write(data)
+        else:
+            exchange.outbox += data
+
+    def _must_close_after(self, exchange):
+        """Return True for the last answer of a connection that is to end."""
+        is_newest = bool(self._pipeline) and self._pipeline[-1] is exchange
+        return self.server.is_stopping and is_newest
 
-    def answered(self):
+    def answered(self, exchange):
         """Go on to the next request, or close when that can't be done."""
-        self._waiting = False
-        self._pending_bytes = 0
-        if not self.stream.is_open:
+        if not self._pipeline or self._pipeline[0] is not exchange:
             return
-        body_missing = self.http.their_state is not h11.DONE
-        if self.http.our_state is h11.MUST_CLOSE or body_missing:
-            self.stream.close()
+        while self._pipeline and self._pipeline[0].is_done and self.stream.is_open:
+            done = self._pipeline.popleft()
+            body_missing = not done.is_whole
+            if done.parser.our_state is h11.MUST_CLOSE or body_missing:
+                self._close()
+                return
+            if self._pipeline and self._pipeline[0].outbox:
+                self.stream.write(bytes(self._pipeline[0].outbox))
+                self._pipeline[0].outbox.clear()
+        if not self.stream.is_open:
             return
-        if self.http.our_state is h11.DONE:
-            self.http.start_next_cycle()
-            self.exchange = None
-            self._set_deadline(IDLE_TIMEOUT_S)
-            self.stream.resume()
-            self._pull()
+        if not self._pipeline and self._reading is None:
+            if self._is_last:
+                self._close()
+                return
+            self._set_deadline(self.server.limits().idle_timeout_s)
+        self._handle_next()
+        self.stream.resume()
+        self._pull()
+
+    def _close(self):
+        self._is_last = True
+        self.stream.close()
 
     def time_out(self):
         """Close a connection that took too long."""
-        if self.http.our_state is h11.IDLE and self.exchange is None:
-            self.stream.abort()
+        if self._reading is None and self._is_between and not self._pipeline:
+            self._close()
         else:
             self._refuse(408, "the request took too long to arrive")
 
     def close_if_idle(self):
-        if self.exchange is None:
-            self.stream.close()
+        if self._reading is None and not self._pipeline and self._is_between:
+            self._close()
 
     def _refuse(self, status, detail):
         """Answer a request that can't be understood, and close."""
         self._set_deadline(None)
-        if self.exchange is not None and self.exchange.is_started:
+        exchange, self._reading = self._reading, None
+        if exchange is not None:
+            exchange.is_done = True
+            if exchange in self._pipeline:
+                self._pipeline.remove(exchange)
+        self._is_last = True
+        if self._pipeline or (exchange is not None and exchange.is_started):
+            # Answers before it can't be waited for; the caller sends them again.
             self.stream.abort()
             return
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = problem_body(status, "not-run", detail)
             headers = [
                 ("Content-Type", PROBLEM_TYPE),
@@ -335,13 +282,15 @@
                 ("Snipebay-Outcome", "not-run"),
                 ("Connection", "close"),
             ]
-            self.send(h11.Response(status_code=status, headers=headers, reason=b""))
-            self.send(h11.Data(data=body))
-            self.send(h11.EndOfMessage())
-        if self.exchange is not None:
-            self.exchange.is_done = True
+            response = h11.Response(status_code=status, headers=headers, reason=b"")
+            events = (response, h11.Data(data=body), h11.EndOfMessage())
+            self.stream.write(b"".join(self._parser.send(event) for event in events))
         self.stream.close()
 
+    def _new_parser(self):
+        head_bytes = self.server.limits().head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+
     def _set_deadline(self, seconds):
         limit_s = float("inf") if seconds is None else seconds
         self.deadline_s = self.server.clock() + limit_s
--- a/packages/snipebay-node/src/snipebay_node/logs.py
+++ b/packages/snipebay-node/src/snipebay_node/logs.py
@@ -19,11 +19,12 @@
 __all__ = ["Tracing", "configure_logs", "end_span", "trace_id"]
 
 
-def configure_logs(level, **bound):
-    """Write logs as JSON lines to standard error from a level up.
+def configure_logs(level, sink=sys.stderr, **bound):
+    """Write logs as JSON lines from a level up.
 
     Args:
         level: Name of the least level.
+        sink: File to write to.
         **bound: Values that every line carries.
     """
     structlog.configure(
@@ -37,7 +38,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(sink),
     )
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**bound)
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -6,7 +6,7 @@
 
 import numpy as np
 import structlog
-from circuits import BaseComponent, Event, Timer, handler
+from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 from snipebay_control.core import RAFT_MESSAGES, ControlConfig, ControlCore
 from snipebay_model import messages
@@ -20,10 +20,12 @@
 from snipebay_node.bus import Bus
 from snipebay_node.http_server import HttpServer
 from snipebay_node.logs import Tracing
-from snipebay_node.metrics import MetricsServer, NodeMetrics
+from snipebay_node.metrics import NodeMetrics
+from snipebay_node.metrics_server import MetricsServer
 from snipebay_node.proxy import Proxy
 from snipebay_node.storage import Storage, StorageError
 from snipebay_node.streams import StreamHub
+from snipebay_node.ticker import Ticker
 
 __all__ = ["Node"]
 
@@ -41,10 +43,6 @@
 log = structlog.get_logger(__name__)
 
 
-class tick(Event):
-    """Time has moved."""
-
-
 class Node(BaseComponent):
     """One instance with its roles.
 
@@ -101,7 +99,7 @@
         if settings.is_entry:
             self.hub.listen(settings.http, self.http.accept)
         MetricsServer(settings.metrics, self.metrics, self.is_ready).register(self)
-        Timer(TICK_S, tick(), "node", persist=True).register(self)
+        Ticker(TICK_S, self._on_tick, self.clock).register(self)
 
     # --- state ------------------------------------------------------------
 
@@ -245,9 +243,7 @@
 
     # --- time -------------------------------------------------------------
 
-    @handler("tick")
-    def _on_tick(self):
-        now_s = self.clock()
+    def _on_tick(self, now_s):
         if self.control is not None:
             self.control.tick(now_s)
             self.metrics.leader.set(self.control.raft.is_leader)
@@ -256,6 +252,7 @@
             self.api.tick(now_s)
             self.proxy.tick(now_s)
             self.http.tick(now_s)
+            self.hub.tick(now_s)
             self.metrics.revision.set(self.entry.ctx.view.revision)
             self.metrics.set_decisions(self.entry.ctx.counts)
         self.run_actions()
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -240,7 +240,7 @@
         )
         self.run_actions()
 
-    def on_shed(self, attempt_id):
+    def on_not_run(self, attempt_id, status, headers):
         self._end_attempt(attempt_id, "shed")
         self.core.requests.shed(attempt_id, self.clock())
         self.run_actions()
--- /dev/null
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -0,0 +1,356 @@
+"""An instance that finds its control group by seeds and forwards by routes."""
+
+import random
+import secrets
+import time
+
+import attrs
+import structlog
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+from snipebay_control.core import RAFT_MESSAGES, ControlConfig, ControlCore
+from snipebay_control.membership import instance_of
+from snipebay_control.raft import RaftTiming
+from snipebay_control.sessions import LeaseTiming
+from snipebay_model import messages
+from snipebay_model.view import EntryRow
+from snipebay_policy.routed import RoutedConfig, RoutedCore
+from snipebay_policy.work import Send
+
+from snipebay_node.dialect import Dialect
+from snipebay_node.forwarder import Forwarder
+from snipebay_node.frames import FrameBus
+from snipebay_node.http_server import HttpServer
+from snipebay_node.metrics import NodeMetrics
+from snipebay_node.steering import Steering
+from snipebay_node.storage import FOUNDER, Storage, StorageError
+from snipebay_node.streams import StreamHub
+from snipebay_node.ticker import Ticker
+
+__all__ = ["RoutedNode", "RoutedSettings"]
+
+TICK_S = 0.025
+# Pause before a data folder that could not be used is tried again.
+STORAGE_RETRY_S = 0.5
+SIGNED_MESSAGES = (*RAFT_MESSAGES, messages.Hello)
+CONTROL_MESSAGES = (
+    *SIGNED_MESSAGES,
+    messages.CommandRequest,
+    messages.Renew,
+    messages.StatusRequest,
+)
+
+log = structlog.get_logger(__name__)
+
+
+@attrs.frozen
+class RoutedSettings:
+    """Settings of one instance, checked.
+
+    Attributes:
+        name: Name for people.
+        region: Region that it stands in.
+        domain: Failure domain that it stands in.
+        internal: ``host:port`` for other instances, by which they know it.
+        seeds: Internal addresses of control instances to ask first.
+        callers: ``host:port`` for callers of routes, empty without the role.
+        data: Data folder of a control instance, empty without the role.
+        may_found: True when the whole system starts for the first time.
+        stop_timeout_s: Longest graceful stop.
+        entry_lease_s: Lease of an entry instance.
+        backend_lease_s: Lease of an announcement.
+        routed: Function from our row to the settings of the routed core.
+        dialect: Header names of callers and backend servers.
+    """
+
+    name: str
+    region: str
+    domain: str
+    internal: str
+    seeds: tuple
+    callers: str = ""
+    data: str = ""
+    may_found: bool = False
+    stop_timeout_s: float = 30.0
+    entry_lease_s: float = 3.0
+    backend_lease_s: float = 6.0
+    routed: object = RoutedConfig
+    dialect: Dialect = Dialect()
+
+
+class RoutedNode(BaseComponent):
+    """One instance with its roles.
+
+    Args:
+        settings: Checked settings.
+
+    Raises:
+        OSError: If an address can't be listened on.
+    """
+
+    channel = "node"
+
+    def __init__(self, settings):
+        super().__init__()
+        self.settings = settings
+        self.clock = time.monotonic
+        self.metrics = NodeMetrics()
+        self.poller = EPoll().register(self)
+        self.hub = StreamHub(self.poller).register(self)
+        self.servers = []
+        self.storage = None
+        self.control = None
+        self.entry = None
+        self.forwarder = None
+        self.steering = Steering(settings.seeds, self.clock)
+        self._rng = random.Random(secrets.randbits(64))
+        self._node_name = settings.internal
+        self._local = []
+        self._is_running_actions = False
+        self._stopping_since_s = None
+        self._storage_retry_s = 0.0
+        self._leader = ""
+        self.bus = FrameBus(
+            self.hub, settings.internal, self._on_message, self.metrics, self.clock
+        )
+        if settings.data:
+            self._start_control()
+        if settings.callers:
+            self._start_entry()
+        Ticker(TICK_S, self._on_tick, self.clock).register(self)
+
+    # --- state ------------------------------------------------------------
+
+    @property
+    def is_stopping(self):
+        return self._stopping_since_s is not None
+
+    def is_ready(self):
+        """Return True while callers may be sent here."""
+        return not self.is_stopping and self.entry is not None and self.entry.is_ready
+
+    def serve(self, address, app, limits=None):
+        """Serve an application over HTTP at an address."""
+        server = HttpServer(app, self.clock, *([limits] if limits else []))
+        self.servers.append(server)
+        self.hub.listen(address, server.accept)
+
+    def reload(self, settings):
+        """Take in changed seeds, the only setting that moves in a running process."""
+        if settings.seeds != self.settings.seeds:
+            self.settings = attrs.evolve(self.settings, seeds=settings.seeds)
+            if self.entry is not None:
+                self.entry.learn_controls(settings.seeds)
+            if self.control is not None:
+                self.control.cfg = attrs.evolve(
+                    self.control.cfg, peers=tuple(settings.seeds)
+                )
+        log.info("settings reread", seeds=list(settings.seeds))
+
+    def begin_stop(self):
+        """Leave look-ups, let requests end, then stop."""
+        if self.is_stopping:
+            return
+        self._stopping_since_s = self.clock()
+        log.info("stop begins")
+        if self.entry is not None:
+            self.entry.leave(self.clock())
+        if self.control is not None:
+            self.control.stop()
+        for server in self.servers:
+            server.stop()
+        self.run_actions()
+
+    # --- messages ---------------------------------------------------------
+
+    def send(self, target, body):
+        """Send a message to an instance, known by its internal address."""
+        address = instance_of(target)
+        if address == self.settings.internal:
+            self._local.append(body)
+            return
+        is_signed = isinstance(body, SIGNED_MESSAGES)
+        sender = self._node_name if is_signed else self.settings.internal
+        self.bus.send(address, sender, body)
+
+    def run_actions(self):
+        """Carry out what the cores decided until there is nothing left."""
+        if self._is_running_actions:
+            return
+        self._is_running_actions = True
+        try:
+            busy = True
+            while busy:
+                busy = self._work_control() | self._work_clients() | self._work_local()
+        finally:
+            self._is_running_actions = False
+
+    def _on_message(self, sender, body):
+        self._handle(sender, body)
+        self.run_actions()
+
+    def _handle(self, sender, body):
+        now_s = self.clock()
+        if isinstance(body, CONTROL_MESSAGES):
+            if self.control is not None:
+                self.control.receive(sender, body, now_s)
+        elif isinstance(body, messages.RenewReply):
+            if self.entry is not None:
+                self.entry.receive(sender, body, now_s)
+        else:
+            self.steering.receive(body, now_s)
+
+    def _work_local(self):
+        bodies, self._local = self._local, []
+        for body in bodies:
+            self._handle(self.settings.internal, body)
+        return bool(bodies)
+
+    def _work_clients(self):
+        actions = self.steering.take_actions()
+        if self.entry is not None:
+            actions = actions + self.entry.take_actions()
+        for action in actions:
+            if isinstance(action, Send):
+                self.send(action.target, action.body)
+            else:
+                self.forwarder.carry_out(action)
+        return bool(actions)
+
+    def _work_control(self):
+        if self.control is None:
+            return False
+        worked = False
+        while not (ready := self.control.take_ready()).is_empty:
+            worked = True
+            try:
+                self.storage.save(ready)
+            except StorageError as exc:
+                # What can't be synced must not be told: begin anew from the disk.
+                self._end_control(exc)
+                return False
+            if ready.needs_sync:
+                self.metrics.syncs.inc()
+            self.control.finish(ready)
+        for target, body in self.control.take_messages():
+            worked = True
+            self.send(target, body)
+        return worked
+
+    # --- time -------------------------------------------------------------
+
+    def _on_tick(self, now_s):
+        if self.control is not None:
+            self.control.tick(now_s)
+            self._note_leader()
+        elif self.settings.data and now_s >= self._storage_retry_s:
+            self._start_control()
+        self.steering.tick(now_s)
+        if self.entry is not None:
+            self.entry.tick(now_s)
+            self.forwarder.tick(now_s)
+            self.metrics.revision.set(self.entry.view.revision)
+        for server in self.servers:
+            server.tick(now_s)
+        self.hub.tick(now_s)
+        self.bus.tick(now_s)
+        self.run_actions()
+        if self.is_stopping:
+            self._go_on_stopping(now_s)
+
+    def _note_leader(self):
+        """Tell the clients in this process who leads, and log a change."""
+        leader = self.control.leader_id
+        self.steering.lead_by(leader, self.control.controls)
+        self.metrics.leader.set(self.control.raft.is_leader)
+        if leader != self._leader:
+            log.info("leader changed", leader=leader, term=self.control.raft.term)
+            self._leader = leader
+
+    def _go_on_stopping(self, now_s):
+        """Stop once all requests have ended, or the time for it is over."""
+        elapsed_s = now_s - self._stopping_since_s
+        idle = self.forwarder is None or self.forwarder.is_idle
+        is_over = elapsed_s >= self.settings.stop_timeout_s
+        if (idle and elapsed_s >= self._stop_wait_s) or is_over:
+            log.info("stopped", whole=idle, seconds=round(elapsed_s, 2))
+            self.bus.close()
+            if self.storage is not None:
+                self.storage.close()
+            self.root.stop(0)
+
+    @property
+    def _stop_wait_s(self):
+        """Time for which callers may still use an answer that names us."""
+        return self.settings.stop_timeout_s / 2 if self.entry is not None else 0.2
+
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, exc, trace, handler=None, fevent=None):
+        log.error("fault in a handler", error=repr(exc), trace="".join(trace))
+
+    # --- start ------------------------------------------------------------
+
+    def _start_control(self):
+        settings = self.settings
+        # The seeds found the group together, each under the same name whatever
+        # its disk, so that any majority of them can begin.
+        founds = settings.may_found and settings.internal in settings.seeds
+        try:
+            self.storage = Storage(
+                settings.data, settings.internal, FOUNDER if founds else ""
+            )
+        except StorageError as exc:
+            self._end_control(exc)
+            return
+        self._node_name = f"{settings.internal}#{self.storage.incarnation}"
+        cfg = ControlConfig(
+            self._node_name,
+            tuple(settings.seeds),
+            raft=RaftTiming(
+                heartbeat_s=0.15,
+                election_min_s=0.7,
+                election_max_s=1.4,
+                leader_lease_s=0.6,
+            ),
+            leases=LeaseTiming(
+                entry_lease_s=settings.entry_lease_s,
+                settle_s=0.0,
+                backend_lease_s=settings.backend_lease_s,
+                needs_witness=False,
+            ),
+            discovers=True,
+        )
+        stored = self.storage.load()
+        self.control = ControlCore(cfg, stored, self._rng, self.clock())
+        if self.storage.incarnation == FOUNDER and not self.control.raft.members:
+            members = {f"{seed}#{FOUNDER}": True for seed in settings.seeds}
+            self.control.raft.bootstrap(members)
+        log.info("control begins", node=self._node_name, term=stored.hard_state.term)
+
+    def _end_control(self, exc):
+        log.error("data folder not usable", error=str(exc))
+        if self.storage is not None:
+            self.storage.close()
+        self.storage = self.control = None
+        self._storage_retry_s = self.clock() + STORAGE_RETRY_S
+
+    def _start_entry(self):
+        settings = self.settings
+        row = EntryRow(
+            settings.internal,
+            secrets.token_hex(6),
+            settings.callers,
+            settings.internal,
+            settings.region,
+            settings.domain,
+        )
+        self.entry = RoutedCore(settings.routed(row), settings.seeds)
+        self.forwarder = Forwarder(
+            self.entry,
+            self.hub,
+            self.clock,
+            self.metrics,
+            self.run_actions,
+            settings.dialect,
+        )
+        self.serve(settings.callers, self.forwarder, lambda: self.entry.limits)
--- a/packages/snipebay-node/src/snipebay_node/storage.py
+++ b/packages/snipebay-node/src/snipebay_node/storage.py
@@ -12,7 +12,10 @@
 from snipebay_control.raft_log import HardState, RaftLog, Snapshot, Stored
 from snipebay_model.messages import LogEntry
 
-__all__ = ["Storage", "StorageError"]
+__all__ = ["FOUNDER", "Storage", "StorageError"]
+
+# Incarnation of the disks of instances that found the group together.
+FOUNDER = "founder"
 
 MAGIC = b"snipebay-log-1\n"
 _HEADER = struct.Struct("<III")
@@ -45,13 +48,14 @@
     Args:
         folder: Path of the folder.
         instance_id: Id from the settings, which must own the folder.
+        incarnation: Incarnation of an empty folder, drawn by lot when empty.
 
     Raises:
         StorageError: If the folder can't be written, belongs to another
             instance or holds damaged records before its end.
     """
 
-    def __init__(self, folder, instance_id):
+    def __init__(self, folder, instance_id, incarnation=""):
         self.folder = pathlib.Path(folder)
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
@@ -61,7 +65,7 @@
             raise StorageError(f"{folder!r} is in use by another process") from None
         except OSError as exc:
             raise StorageError(f"{folder!r} can't be written: {exc}") from exc
-        self.incarnation = self._identify(instance_id)
+        self.incarnation = self._identify(instance_id, incarnation)
         self._hard_state = HardState()
         self._log = RaftLog()
         try:
@@ -101,7 +105,7 @@
 
     # --- files ------------------------------------------------------------
 
-    def _identify(self, instance_id):
+    def _identify(self, instance_id, incarnation):
         """Return the incarnation of this disk, made when the folder was empty."""
         path = self.folder / "identity"
         if path.exists():
@@ -112,7 +116,7 @@
                     f"not {instance_id!r}"
                 )
             return found.incarnation
-        found = _Identity(instance_id, secrets.token_hex(4))
+        found = _Identity(instance_id, incarnation or secrets.token_hex(4))
         try:
             self._replace(path, msgspec.json.encode(found))
         except OSError as exc:
--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import time
 
 from circuits import BaseComponent, handler
 
@@ -10,6 +11,11 @@
 READ_BYTES = 64 * 1024
 WRITE_HIGH_BYTES = 256 * 1024
 BACKLOG = 1_024
+# Time in which bytes still on their way to a closed connection are read off, so
+# that the answer before the close is not lost to a reset.
+LINGER_S = 1.0
+# Time after which unacknowledged bytes end a connection (RFC 5482).
+SILENT_PEER_MS = 3_000
 
 
 class Stream:
@@ -22,6 +28,7 @@
         on_closed: Function without arguments, called once.
         on_connected: Function without arguments, for outgoing connections.
         on_drained: Function without arguments, when few bytes wait to be sent.
+        was_reset: True when the other side broke the connection off.
     """
 
     def __init__(self, hub, sock, *, connecting=False):
@@ -31,6 +38,7 @@
         self.is_connecting = connecting
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
         self._buffer = bytearray()
+        self.was_reset = False
         self._closing = False
         self._paused = False
 
@@ -59,8 +67,8 @@
     def close(self):
         """Close after everything has been sent."""
         self._closing = True
-        if not self._buffer:
-            self.abort()
+        if self.is_open and not self._buffer:
+            self._end_writing()
 
     def abort(self):
         """Close at once."""
@@ -71,6 +79,13 @@
             if self.on_closed is not None:
                 self.on_closed()
 
+    def _end_writing(self):
+        """Tell the other side that no more comes, and read off what it sends."""
+        self.is_open = False
+        self.hub.linger(self)
+        if self.on_closed is not None:
+            self.on_closed()
+
     def pause(self):
         """Stop reading, so that the sender is slowed down."""
         if self.is_open and not self._paused:
@@ -84,20 +99,24 @@
             self.hub.watch_reads(self, True)
 
     def handle_read(self):
+        """Return True after taking in bytes, False when there are none."""
         try:
             data = self.sock.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError:
+            self.was_reset = True
             data = b""
         if not data:
             self.abort()
         elif self.on_data is not None:
             self.on_data(data)
+        return bool(data)
 
     def handle_write(self):
         if self.is_connecting:
             if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self.was_reset = True
                 self.abort()
                 return
             self.is_connecting = False
@@ -108,7 +127,7 @@
         if self.is_open and not self._buffer:
             self.hub.watch_writes(self, False)
             if self._closing:
-                self.abort()
+                self._end_writing()
             elif self.on_drained is not None:
                 self.on_drained()
 
@@ -118,6 +137,7 @@
         except (BlockingIOError, InterruptedError):
             return 0
         except OSError:
+            self.was_reset = True
             self.abort()
             return 0
 
@@ -136,6 +156,7 @@
         self.poller = poller
         self._streams = {}
         self._listeners = {}
+        self._lingering = {}
 
     def listen(self, address, on_accept):
         """Accept connections; ``on_accept`` takes each new stream."""
@@ -156,7 +177,7 @@
         """Return a stream that is being connected."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _tune(sock)
         code = sock.connect_ex(_pair(address))
         stream = Stream(self, sock, connecting=True)
         if code not in (0, errno.EINPROGRESS):
@@ -183,6 +204,40 @@
         else:
             self.poller.removeReader(stream.sock)
 
+    def linger(self, stream):
+        """Shut a stream's sending side and read off what still comes."""
+        self._streams.pop(stream.sock, None)
+        try:
+            stream.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._drop(stream.sock)
+            return
+        self.watch_writes(stream, False)
+        self.poller.addReader(self, stream.sock)
+        self._lingering[stream.sock] = time.monotonic() + LINGER_S
+
+    def tick(self, now_s):
+        """Close connections that have lingered long enough."""
+        for sock, end_s in list(self._lingering.items()):
+            if now_s >= end_s:
+                self._drop(sock)
+
+    def _drop(self, sock):
+        self._lingering.pop(sock, None)
+        self.poller.discard(sock)
+        sock.close()
+
+    def _read_off(self, sock):
+        try:
+            if sock.recv(READ_BYTES):
+                return
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            # The other side has closed too; there is nothing left to protect.
+            pass
+        self._drop(sock)
+
     def forget(self, stream):
         """Take a stream off the poller."""
         self._streams.pop(stream.sock, None)
@@ -194,6 +249,8 @@
             self._accept(sock)
         elif sock in self._streams:
             self._streams[sock].handle_read()
+        elif sock in self._lingering:
+            self._read_off(sock)
 
     @handler("_write")
     def _on_write(self, sock):
@@ -202,11 +259,14 @@
 
     @handler("_disconnect", "_error")
     def _on_disconnect(self, sock, *args):
-        if sock in self._streams:
+        stream = self._streams.get(sock)
+        if stream is not None:
             # Bytes may wait in front of the end.
-            self._streams[sock].handle_read()
-            if sock in self._streams:
-                self._streams[sock].abort()
+            while stream.is_open and stream.handle_read():
+                pass
+            stream.abort()
+        elif sock in self._lingering:
+            self._drop(sock)
 
     def _accept(self, listener):
         for _ in range(BACKLOG):
@@ -215,13 +275,19 @@
             except OSError:
                 return
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            _tune(sock)
             stream = Stream(self, sock)
             self._streams[sock] = stream
             self.poller.addReader(self, sock)
             self._listeners[listener](stream)
 
 
+def _tune(sock):
+    """Send small writes at once, and notice a peer that has fallen silent."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS)
+
+
 def _pair(address):
     """Return host and port of an address ``host:port``."""
     host, _, port = address.rpartition(":")
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -3,13 +3,18 @@
 import attrs
 import h11
 
+from snipebay_node.dialect import Dialect
+
 __all__ = ["UpstreamPool", "UpstreamRequest", "end_to_end"]
 
 IDLE_LIMIT_S = 20.0
 IDLE_MOST = 8
 CONNECT_TIMEOUT_S = 2.0
 KEPT_BODY_BYTES = 16 * 1024
-SHED_HEADER = b"snipebay-shed"
+# Share of the idle time announced by a backend server for which we keep a
+# connection, so that it is not closed while a request is on its way.
+KEPT_SHARE = 0.6
+MISDIRECTED = 421
 HOP_HEADERS = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection "
     b"te trailer transfer-encoding upgrade".split()
@@ -38,6 +43,7 @@
     target: str
     headers: list
     body: bytes
+    request_id: bytes = b""
 
 
 class UpstreamPool:
@@ -48,11 +54,13 @@
         clock: Function returning the time in seconds.
         listener: Has ``may_write(attempt_id)``, ``on_head(attempt_id, status,
             headers)``, ``on_data(attempt_id, data)``, ``on_end(attempt_id,
-            status, headers, body)``, ``on_shed(attempt_id)`` and
-            ``on_failure(attempt_id, reason)``.
+            status, headers, body)``, ``on_not_run(attempt_id, status,
+            headers)`` and ``on_failure(attempt_id, reason)``.
+        dialect: Header names of the backend servers.
     """
 
-    def __init__(self, hub, clock, listener):
+    def __init__(self, hub, clock, listener, dialect=None):
+        self.dialect = dialect or Dialect()
         self.hub = hub
         self.clock = clock
         self.listener = listener
@@ -83,7 +91,7 @@
         """Close connections that were idle for long or never connected."""
         for address, kept in list(self._idle.items()):
             for connection in list(kept):
-                if now_s - connection.since_s > IDLE_LIMIT_S:
+                if now_s - connection.since_s > connection.idle_limit_s:
                     kept.remove(connection)
                     connection.stream.abort()
             if not kept:
@@ -118,8 +126,13 @@
             kept.remove(connection)
 
     def _take_idle(self, address):
-        kept = self._idle.get(address)
-        return kept.pop() if kept else None
+        kept = self._idle.get(address, [])
+        while kept:
+            connection = kept.pop()
+            if self.clock() - connection.since_s <= connection.idle_limit_s:
+                return connection
+            connection.stream.abort()
+        return None
 
 
 class _Upstream:
@@ -134,7 +147,8 @@
         self.req = None
         self._response = None
         self._body = bytearray()
-        self._is_shed = False
+        self._was_not_run = False
+        self.idle_limit_s = IDLE_LIMIT_S
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
         stream.on_connected = self._write
@@ -144,7 +158,7 @@
         self.since_s = self.pool.clock()
         self._response = None
         self._body = bytearray()
-        self._is_shed = False
+        self._was_not_run = False
         if not self.stream.is_open:
             self._fail("no connection")
         elif not self.stream.is_connecting:
@@ -178,11 +192,12 @@
         self.pool.drop(self)
         if self.req is None:
             return
-        if self._response is not None:
+        if self._response is not None and not self.stream.was_reset:
             # An answer without a length ends with the connection.
             self._receive(b"")
         if self.req is not None:
-            self._fail("the connection was closed")
+            reset = self.stream.was_reset
+            self._fail("the connection was reset" if reset else "the connection ended")
 
     def _receive(self, data):
         try:
@@ -201,32 +216,49 @@
     def _take(self, event):
         listener, attempt_id = self.pool.listener, self.req.attempt_id
         if isinstance(event, h11.Response):
-            self._response = event
-            shed = any(name == SHED_HEADER for name, _ in event.headers)
-            self._is_shed = event.status_code == 503 and shed
-            if not self._is_shed:
-                headers = [(bytes(n), bytes(v)) for n, v in event.headers]
-                listener.on_head(attempt_id, event.status_code, headers)
-        elif isinstance(event, h11.Data) and not self._is_shed:
+            self._on_head(event, listener, attempt_id)
+        elif isinstance(event, h11.Data) and not self._was_not_run:
             if len(self._body) <= KEPT_BODY_BYTES:
                 self._body += event.data
             listener.on_data(attempt_id, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._end(listener, attempt_id)
 
+    def _on_head(self, event, listener, attempt_id):
+        dialect = self.pool.dialect
+        headers = dict(event.headers)
+        echoed = headers.get(dialect.request_id, self.req.request_id)
+        if echoed != self.req.request_id:
+            self._fail(f"an answer to {echoed!r}")
+            self.stream.abort()
+            return
+        self._response = event
+        self._was_not_run = (
+            dialect.not_run in headers or event.status_code == MISDIRECTED
+        )
+        self._note_keep_alive(headers.get(b"keep-alive", b""))
+        if not self._was_not_run:
+            pairs = [(bytes(name), bytes(value)) for name, value in event.headers]
+            listener.on_head(attempt_id, event.status_code, pairs)
+
+    def _note_keep_alive(self, value):
+        """Take the idle time that a backend server announces."""
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                self.idle_limit_s = min(IDLE_LIMIT_S, KEPT_SHARE * int(seconds))
+
     def _end(self, listener, attempt_id):
         req, self.req = self.req, None
         self.pool.done(attempt_id)
         self._recycle()
-        if self._is_shed:
-            listener.on_shed(attempt_id)
+        status, headers = self._response.status_code, dict(self._response.headers)
+        if self._was_not_run:
+            listener.on_not_run(attempt_id, status, headers)
             return
         whole = len(self._body) <= KEPT_BODY_BYTES
         listener.on_end(
-            req.attempt_id,
-            self._response.status_code,
-            dict(self._response.headers),
-            bytes(self._body) if whole else None,
+            req.attempt_id, status, headers, bytes(self._body) if whole else None
         )
 
     def _recycle(self):
--- a/packages/snipebay-node/tests/test_http.py
+++ b/packages/snipebay-node/tests/test_http.py
@@ -159,7 +159,7 @@
     def on_end(self, attempt_id, status, headers, body):
         self.told.append(("end", attempt_id, body))
 
-    def on_shed(self, attempt_id):
+    def on_not_run(self, attempt_id, status, headers):
         self.told.append(("shed", attempt_id))
 
     def on_failure(self, attempt_id, reason):
--- a/packages/snipebay-policy/src/snipebay_policy/announcements.py
+++ b/packages/snipebay-policy/src/snipebay_policy/announcements.py
@@ -1,7 +1,7 @@
 """Backend servers that announce themselves at this entry instance."""
 
 import attrs
-from snipebay_model.messages import PutBackend, RemoveBackend
+from snipebay_model.messages import WITHDRAWN, PutBackend, RemoveBackend
 from snipebay_model.view import BackendRow
 
 __all__ = ["Announced", "AnnouncementSystem"]
@@ -70,7 +70,7 @@
         self.commands.now_s = now_s
         self._mark(backend_id)
         if backend_id in self.ctx.backends:
-            self.commands.send_until_done(RemoveBackend(backend_id, "withdrawn"))
+            self.commands.send_until_done(RemoveBackend(backend_id, WITHDRAWN))
         return Announced("gone", 0.0, self.ctx.view.revision)
 
     def take_seen(self):
--- a/packages/snipebay-policy/src/snipebay_policy/budget.py
+++ b/packages/snipebay-policy/src/snipebay_policy/budget.py
@@ -9,14 +9,22 @@
 
 @attrs.define
 class RetryBudget:
-    """Credit for further attempts, earned by first ones."""
+    """Credit for further attempts, earned by first ones.
+
+    Attributes:
+        ratio: Credit earned by one request.
+        most: Greatest credit that is kept.
+    """
 
     ratio: float
-    _credit: float = BUDGET_CREDIT / 2
+    most: float = BUDGET_CREDIT
+    _credit: float = attrs.field(
+        default=attrs.Factory(lambda self: self.most / 2, takes_self=True)
+    )
 
     def earn(self):
         """Count a first attempt."""
-        self._credit = min(BUDGET_CREDIT, self._credit + self.ratio)
+        self._credit = min(self.most, self._credit + self.ratio)
 
     def spend(self):
         """Return True and take credit when a further attempt is allowed."""
--- a/packages/snipebay-policy/src/snipebay_policy/commands.py
+++ b/packages/snipebay-policy/src/snipebay_policy/commands.py
@@ -25,6 +25,7 @@
     sent_s: float
     first_s: float
     is_record: bool
+    patience_s: float
 
 
 class CommandSystem:
@@ -44,19 +45,20 @@
         self._ids = itertools.count(1)
         self._turn = itertools.count()
 
-    def send(self, cmd, callback, give_up=None):
+    def send(self, cmd, callback, give_up=None, patience_s=PATIENCE_S):
         """Send a command, again for a short while until there is an answer.
 
         Args:
             cmd: The command.
             callback: Function of outcome and time, called at most once.
             give_up: Function of time, called instead when no answer came.
+            patience_s: Time after which to give up.
         """
-        self._start(cmd, callback, give_up, is_record=False)
+        self._start(cmd, callback, give_up, patience_s, is_record=False)
 
     def send_until_done(self, cmd):
         """Send a command that must get through, until control has it."""
-        self._start(cmd, None, None, is_record=True)
+        self._start(cmd, None, None, GIVE_UP_S, is_record=True)
 
     def on_reply(self, msg: CommandReply, now_s):
         """Take in an answer."""
@@ -89,9 +91,7 @@
         """Send again what had no answer."""
         self.now_s = now_s
         for request_id, pending in list(self._pending.items()):
-            if now_s - pending.first_s > GIVE_UP_S or (
-                not pending.is_record and now_s - pending.first_s > PATIENCE_S
-            ):
+            if now_s - pending.first_s > pending.patience_s:
                 del self._pending[request_id]
                 if pending.give_up is not None:
                     pending.give_up(now_s)
@@ -105,11 +105,11 @@
         """Number of records that control has not confirmed."""
         return sum(pending.is_record for pending in self._pending.values())
 
-    def _start(self, cmd, callback, give_up, *, is_record):
+    def _start(self, cmd, callback, give_up, patience_s, *, is_record):
         request_id = next(self._ids)
         now_s = self.now_s
         self._pending[request_id] = _Pending(
-            cmd, callback, give_up, now_s, now_s, is_record
+            cmd, callback, give_up, now_s, now_s, is_record, patience_s
         )
         self._transmit(request_id, cmd)
 
--- a/packages/snipebay-policy/src/snipebay_policy/deal.py
+++ b/packages/snipebay-policy/src/snipebay_policy/deal.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-__all__ = ["Slot", "deal_slots"]
+__all__ = ["Slot", "deal_slots", "rendezvous_rank"]
 
 
 @attrs.frozen(order=True)
@@ -48,14 +48,14 @@
     """
     near = [row.entry_id for row in entries if row.domain == backend.domain]
     names = near or [row.entry_id for row in entries]
-    ranked = sorted(names, key=lambda name: _rank(name, backend.backend_id))
+    ranked = sorted(names, key=lambda name: rendezvous_rank(name, backend.backend_id))
     return {
         Slot(backend.backend_id, number): ranked[number % len(ranked)]
         for number in range(backend.slots)
     }
 
 
-def _rank(entry_id, backend_id):
+def rendezvous_rank(entry_id, backend_id):
     """Return where an entry instance stands in the order of a backend server."""
     text = f"{entry_id}/{backend_id}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -0,0 +1,210 @@
+"""Backend servers as one entry instance sees them: load, health, cold starts."""
+
+import math
+
+import attrs
+
+from snipebay_policy.deal import rendezvous_rank
+
+__all__ = ["Fleet", "FleetTiming", "Member"]
+
+# Time constant with which the load that others caused is taken to end.
+LOAD_DECAY_S = 0.5
+# Added to the load share of a backend server outside the own failure domain.
+DISTANCE_PENALTY = 0.15
+# Entry instances that use one cold backend server, and their share each of its
+# rate. Were every owner replaced at once, the sum would still be below 1.
+COLD_OWNERS = 3
+COLD_SHARE = 0.15
+
+
+@attrs.frozen
+class FleetTiming:
+    """Rules for ejections.
+
+    Attributes:
+        eject_failures: Failures in a row that eject a backend server.
+        eject_s: Time of a first ejection, doubled by each further one.
+        eject_most_s: Longest ejection.
+        eject_ceiling: Greatest share of a service's backend servers ejected.
+    """
+
+    eject_failures: int = 3
+    eject_s: float = 1.0
+    eject_most_s: float = 8.0
+    eject_ceiling: float = 0.5
+
+
+@attrs.define
+class Member:
+    """One backend server.
+
+    Attributes:
+        row: As the view has it.
+        in_flight: Requests of ours that it has.
+        others: Requests of other instances that it is taken to have.
+        reported_s: Time of its last load report.
+        failures: Failures in a row.
+        ejections: Ejections in a row.
+        ejected_until_s: End of its ejection.
+        cold_until_s: When it stops being cold.
+        next_cold_s: Earliest time for the next request while it is cold.
+        is_stale: True when another backend server answered at its address.
+    """
+
+    row: object
+    in_flight: int = 0
+    others: float = 0.0
+    reported_s: float = -math.inf
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_s: float = -math.inf
+    cold_until_s: float = -math.inf
+    next_cold_s: float = -math.inf
+    is_stale: bool = False
+
+    def load(self, now_s):
+        """Return the requests that it is taken to run or to queue."""
+        age_s = max(0.0, now_s - self.reported_s)
+        return self.in_flight + self.others * math.exp(-age_s / LOAD_DECAY_S)
+
+    def report(self, running, waiting, now_s):
+        """Take its own word on its load, which counts our requests as well."""
+        self.others = max(0.0, running + waiting - self.in_flight)
+        self.reported_s = now_s
+
+
+class Fleet:
+    """Table of the backend servers in view.
+
+    Args:
+        entry_id: Our instance id.
+        region: Our region.
+        domain: Our failure domain.
+        timing: Rules for ejections.
+    """
+
+    def __init__(self, entry_id, region, domain, timing=None):
+        self.entry_id = entry_id
+        self.region = region
+        self.domain = domain
+        self.timing = timing or FleetTiming()
+        self.members = {}
+        self._by_service = {}
+        self._evacuated = frozenset()
+        self._entries = ()
+
+    def adopt(self, view, now_s):
+        """Bring the table forward to a view."""
+        members = {}
+        by_service = {}
+        for row in view.backends:
+            member = self._next(self.members.get(row.backend_id), row, now_s)
+            members[row.backend_id] = member
+            by_service.setdefault(row.service, []).append(member)
+        self.members = members
+        self._by_service = by_service
+        self._evacuated = frozenset(view.evacuated)
+        self._entries = tuple(r.entry_id for r in view.entries if not r.leaving)
+
+    def usable(self, service, now_s):
+        """Return the members of a service that may get requests, ejected ones last.
+
+        When all are ejected, the one that has been so for longest is tried.
+        """
+        found = [m for m in self._by_service.get(service, ()) if self._is_open(m)]
+        sound = [m for m in found if now_s >= m.ejected_until_s]
+        return sound or sorted(found, key=lambda m: m.ejected_until_s)[:1]
+
+    def capacity(self, service, now_s):
+        """Return the slots of usable members by region."""
+        slots = {}
+        for member in self.usable(service, now_s):
+            region = member.row.region
+            slots[region] = slots.get(region, 0) + member.row.slots
+        return slots
+
+    def choose(self, service, region, now_s, *, depth, exclude, cold_per_s):
+        """Return the member that should take a request, or None.
+
+        Args:
+            service: Service of the request.
+            region: Region that it goes to.
+            now_s: Time.
+            depth: Requests that may wait at a backend server.
+            exclude: Ids that have failed the request.
+            cold_per_s: Rate that a cold backend server tolerates in all.
+        """
+        best, best_cost = None, math.inf
+        for member in self.usable(service, now_s):
+            row = member.row
+            if row.region != region or row.backend_id in exclude:
+                continue
+            load = member.load(now_s)
+            if load >= row.slots + depth:
+                continue
+            if not self._may_cold(member, cold_per_s, now_s):
+                continue
+            far = row.domain != self.domain
+            cost = (load + 1) / row.slots + (DISTANCE_PENALTY if far else 0.0)
+            if cost < best_cost:
+                best, best_cost = member, cost
+        return best
+
+    def start(self, member, cold_per_s, now_s):
+        """Count a request that is sent to a member."""
+        member.in_flight += 1
+        if now_s < member.cold_until_s:
+            member.next_cold_s = now_s + 1 / (cold_per_s * COLD_SHARE)
+
+    def succeed(self, member):
+        """Take note of an answer."""
+        member.failures = member.ejections = 0
+
+    def fail(self, member, now_s):
+        """Return True when a failure ejects a member."""
+        member.failures += 1
+        if member.failures < self.timing.eject_failures:
+            return False
+        peers = self._by_service.get(member.row.service, ())
+        ejected = sum(now_s < m.ejected_until_s for m in peers if m is not member)
+        if ejected + 1 > self.timing.eject_ceiling * len(peers):
+            return False
+        span_s = self.timing.eject_s * 2**member.ejections
+        member.ejections += 1
+        member.ejected_until_s = now_s + min(span_s, self.timing.eject_most_s)
+        return True
+
+    def _is_open(self, member):
+        row = member.row
+        is_evacuated = row.domain in self._evacuated
+        return row.is_open and not member.is_stale and not is_evacuated
+
+    def _may_cold(self, member, cold_per_s, now_s):
+        """Return True for a warm member, or a cold one whose next turn is ours."""
+        if now_s >= member.cold_until_s or cold_per_s == math.inf:
+            return True
+        if cold_per_s <= 0 or now_s < member.next_cold_s:
+            return False
+        return self.entry_id in self._owners(member.row.backend_id)
+
+    def _owners(self, backend_id):
+        """Return the entry instances that may use a cold backend server."""
+        ranked = sorted(self._entries, key=lambda i: rendezvous_rank(i, backend_id))
+        return ranked[:COLD_OWNERS]
+
+    def _next(self, member, row, now_s):
+        """Return the member for a row, a new one for a new incarnation."""
+        same = (
+            member is not None
+            and member.row.born_ms == row.born_ms
+            and member.row.address == row.address
+        )
+        if not same:
+            member = Member(row)
+        if row.cold_s > 0 and (not same or member.row.cold_s != row.cold_s):
+            member.cold_until_s = now_s + row.cold_s
+        elif row.cold_s <= 0:
+            member.cold_until_s = -math.inf
+        member.row = row
+        return member
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -0,0 +1,368 @@
+"""Carries requests on routes of the traffic plan to their answers."""
+
+import itertools
+
+import attrs
+
+from snipebay_policy.work import NOT_RUN, UNKNOWN, Cancel, Dispatch, Problem, Relay
+
+__all__ = ["ForwardRow", "ForwardRules", "ForwardSystem"]
+
+
+@attrs.frozen
+class ForwardRules:
+    """Rules of forwarding that hold for all routes.
+
+    Attributes:
+        wait_share: Share of the target latency that a request may wait here
+            for room, after which it is refused while that is still early.
+        depth_share: Requests that may wait at a backend server, by its slots.
+        retry_after_s: When a refused caller should come back.
+        least_attempt_s: Time below which another attempt is not worth it.
+        retry_ratio: Retries per request, over all entry instances.
+        retry_slack: Retries beyond that ratio, over all entry instances.
+    """
+
+    wait_share: float = 0.125
+    depth_share: float = 0.0
+    retry_after_s: float = 0.4
+    least_attempt_s: float = 0.05
+    retry_ratio: float = 0.15
+    retry_slack: float = 20.0
+
+
+@attrs.define
+class ForwardAttempt:
+    """One send of a request to one backend server."""
+
+    attempt_id: int
+    member: object
+    started_s: float
+    wrote: bool = False
+
+
+@attrs.define
+class ForwardRow:
+    """One request on a route.
+
+    Attributes:
+        request_id: Id unique at this instance.
+        route: Its route when it arrived.
+        service: Service that the route's split gave it.
+        region: Region that it should run in.
+        arrived_s: When it arrived.
+        deadline_s: When it must have been answered.
+        attempt: Running attempt, or None.
+        tried: Backend servers that it was sent to.
+        attempts: Number of attempts so far.
+        relayed: True once its answer goes to the caller.
+        last_failure: Why the attempt before failed.
+        may_have_run: True when an attempt may have run.
+    """
+
+    request_id: int
+    route: object
+    service: str
+    region: str | None
+    arrived_s: float
+    deadline_s: float
+    attempt: ForwardAttempt | None = None
+    tried: set = attrs.Factory(set)
+    attempts: int = 0
+    relayed: bool = False
+    last_failure: str = ""
+    may_have_run: bool = False
+
+
+class ForwardSystem:
+    """Admits, sends, repeats and refuses requests.
+
+    Args:
+        ctx: Tables of this entry instance.
+        rules: Rules that hold for all routes.
+    """
+
+    def __init__(self, ctx, rules=None):
+        self.ctx = ctx
+        self.rules = rules or ForwardRules()
+        self.rows = {}
+        self.waiting = {}
+        self._by_attempt = {}
+        self._attempt_ids = itertools.count(1)
+
+    # --- from the caller --------------------------------------------------
+
+    def arrive(self, request_id, host, path, timeout_s, now_s):
+        """Take in a request whose head and body have been read.
+
+        Args:
+            request_id: Id unique at this instance.
+            host: Value of its ``Host`` header.
+            path: Path without the query.
+            timeout_s: Time that its caller will wait, or None when not told.
+            now_s: Time.
+        """
+        table = self.ctx.table
+        if table is None:
+            self._refuse(request_id, 503, "no traffic plan is in force here yet")
+            return
+        route = table.find(host, path)
+        if route is None:
+            detail = f"no route for {host!r} and {path!r}"
+            self.ctx.act(Problem(request_id, 404, NOT_RUN, detail))
+            return
+        service = table.next_service(route)
+        span_s = (
+            route.timeout_s if timeout_s is None else min(timeout_s, route.timeout_s)
+        )
+        region = self.ctx.shares(service).next(route.allowed_regions)
+        row = ForwardRow(request_id, route, service, region, now_s, now_s + span_s)
+        self.rows[request_id] = row
+        self.ctx.arrived(service)
+        self.waiting.setdefault(service, {})[request_id] = row
+        self.pump(service, now_s)
+
+    def caller_gone(self, request_id, now_s):
+        """Stop work for a caller that has left.
+
+        A request that must not run twice and was sent runs on: nobody can tell
+        how far it came, and breaking it off would leave it half done.
+        """
+        row = self.rows.pop(request_id, None)
+        if row is None:
+            return
+        self._stop_waiting(row)
+        if row.attempt is not None and row.route.idempotent:
+            self.ctx.act(Cancel(row.attempt.attempt_id))
+            self._end_attempt(row)
+
+    # --- from backend servers ---------------------------------------------
+
+    def may_write(self, attempt_id, now_s):
+        """Return True if the request may be written now, and take note of it."""
+        row = self._by_attempt.get(attempt_id)
+        if row is None or row.attempt is None or now_s >= row.deadline_s:
+            return False
+        row.attempt.wrote = True
+        return True
+
+    def loaded(self, attempt_id, running, waiting, now_s):
+        """Take a backend server's word on its load."""
+        row = self._by_attempt.get(attempt_id)
+        if row is not None and row.attempt is not None:
+            row.attempt.member.report(running, waiting, now_s)
+
+    def answered(self, attempt_id, status, now_s):
+        """Take a whole answer, or the head of a long one; relay or repeat it."""
+        row = self._by_attempt.get(attempt_id)
+        if row is None or row.attempt is None:
+            return
+        fleet = self.ctx.fleet
+        if status >= 500:
+            fleet.fail(row.attempt.member, now_s)
+            if row.route.idempotent and self._may_repeat(row, now_s):
+                self.ctx.act(Cancel(attempt_id))
+                row.may_have_run = True
+                self._repeat(row, now_s, f"status {status}")
+                return
+        else:
+            fleet.succeed(row.attempt.member)
+        row.relayed = True
+        self.ctx.act(Relay(row.request_id, attempt_id))
+
+    def finished(self, attempt_id, now_s):
+        """Take note that a relayed answer has ended."""
+        row = self._by_attempt.get(attempt_id)
+        if row is not None:
+            self.ctx.counts["answered"] += 1
+            self._forget(row)
+            self.pump(row.service, now_s)
+
+    def not_run(self, attempt_id, reason, now_s, *, is_elsewhere=False):
+        """Take a backend server's word that it did not run a request.
+
+        Args:
+            attempt_id: The attempt.
+            reason: Why.
+            now_s: Time.
+            is_elsewhere: True when another backend server has the address.
+        """
+        row = self._by_attempt.get(attempt_id)
+        if row is None or row.attempt is None:
+            return
+        if is_elsewhere:
+            row.attempt.member.is_stale = True
+        row.attempt.wrote = False
+        self._fail(row, now_s, reason)
+
+    def failed(self, attempt_id, reason, now_s):
+        """Take note of a connection that failed before the answer was whole."""
+        row = self._by_attempt.get(attempt_id)
+        if row is None or row.attempt is None:
+            return
+        self.ctx.fleet.fail(row.attempt.member, now_s)
+        if row.relayed:
+            # The adapter has cut the caller's answer visibly.
+            self._forget(row)
+            self.pump(row.service, now_s)
+            return
+        self._fail(row, now_s, reason)
+
+    # --- time -------------------------------------------------------------
+
+    def tick(self, now_s):
+        """End requests whose time is over, and place those that wait."""
+        for row in [row for row in self.rows.values() if now_s >= row.deadline_s]:
+            self._time_out(row, now_s)
+        for service in list(self.waiting):
+            self.pump(service, now_s)
+
+    def pump(self, service, now_s):
+        """Send waiting requests where there is room; refuse those too late."""
+        waiting = self.waiting.get(service)
+        if not waiting:
+            return
+        for row in sorted(waiting.values(), key=_order):
+            if not self._place(row, now_s) and now_s >= self._patience_end_s(row):
+                self._give_up(row, 503, "no backend server has room")
+
+    def _patience_end_s(self, row):
+        wait_s = row.route.target_latency_s * self.rules.wait_share
+        return min(row.arrived_s + wait_s, row.deadline_s - self.rules.least_attempt_s)
+
+    # --- placing ----------------------------------------------------------
+
+    def _place(self, row, now_s):
+        """Return True when a waiting request was sent."""
+        if now_s >= row.deadline_s:
+            return False
+        cold_per_s = self.ctx.cold_per_s(row.service)
+        for region in self._regions(row):
+            member = self.ctx.fleet.choose(
+                row.service,
+                region,
+                now_s,
+                depth=self.rules.depth_share,
+                exclude=row.tried,
+                cold_per_s=cold_per_s,
+            )
+            if member is None:
+                continue
+            if region != row.region and not self._spill(row):
+                return False
+            self._dispatch(row, member, cold_per_s, now_s)
+            return True
+        return False
+
+    def _regions(self, row):
+        """Return regions to try, the chosen one first."""
+        allowed = row.route.allowed_regions
+        known = self.ctx.shares(row.service).shares
+        others = sorted(known, key=lambda r: (r != self.ctx.region, r))
+        found = dict.fromkeys((row.region, *others))
+        return [r for r in found if r and (not allowed or r in allowed)]
+
+    def _spill(self, row):
+        """Return True when a request may leave the region chosen for it."""
+        meter = self.ctx.spill(row.service)
+        if row.region is None or row.attempts:
+            return True
+        if not meter.may_shift:
+            return False
+        meter.shift()
+        return True
+
+    def _dispatch(self, row, member, cold_per_s, now_s):
+        self._stop_waiting(row)
+        attempt = ForwardAttempt(next(self._attempt_ids), member, now_s)
+        row.attempt = attempt
+        row.attempts += 1
+        row.tried.add(member.row.backend_id)
+        self._by_attempt[attempt.attempt_id] = row
+        self.ctx.fleet.start(member, cold_per_s, now_s)
+        self.ctx.counts["dispatched"] += 1
+        self.ctx.act(
+            Dispatch(row.request_id, attempt.attempt_id, member.row, row.deadline_s)
+        )
+
+    # --- ending -----------------------------------------------------------
+
+    def _fail(self, row, now_s, reason):
+        """Repeat a request where that is safe, else tell the caller."""
+        wrote = row.attempt.wrote
+        row.may_have_run |= wrote
+        if (row.route.idempotent or not wrote) and self._may_repeat(row, now_s):
+            self._repeat(row, now_s, reason)
+        elif row.may_have_run:
+            self._give_up(row, 502, reason)
+        else:
+            self._give_up(row, 503, reason)
+        self.pump(row.service, now_s)
+
+    def _may_repeat(self, row, now_s):
+        """Return True and take from the retry budget when another attempt fits."""
+        return (
+            row.request_id in self.rows
+            and row.attempts < row.route.max_attempts
+            and row.deadline_s - now_s > self.rules.least_attempt_s
+            and self.ctx.budget(row.service).spend()
+        )
+
+    def _repeat(self, row, now_s, reason):
+        self.ctx.counts["retries"] += 1
+        row.last_failure = reason
+        self._end_attempt(row)
+        self.waiting.setdefault(row.service, {})[row.request_id] = row
+        self._place(row, now_s)
+
+    def _time_out(self, row, now_s):
+        """End a request whose time is over."""
+        attempt = row.attempt
+        if attempt is not None:
+            row.may_have_run |= attempt.wrote
+            self.ctx.act(Cancel(attempt.attempt_id))
+        self.ctx.counts["timeouts"] += 1
+        if row.relayed:
+            self._forget(row)
+        else:
+            status = 504 if row.may_have_run else 503
+            self._give_up(row, status, "the deadline has passed")
+        self.pump(row.service, now_s)
+
+    def _give_up(self, row, status, detail):
+        """Tell the caller that its request failed."""
+        if row.may_have_run and status == 503:
+            status = 502
+        if row.request_id in self.rows:
+            outcome = UNKNOWN if row.may_have_run else NOT_RUN
+            retry_after_s = self.rules.retry_after_s if status == 503 else None
+            self.ctx.counts[f"problem_{status}"] += 1
+            self.ctx.act(
+                Problem(row.request_id, status, outcome, detail, retry_after_s)
+            )
+        self._forget(row)
+
+    def _refuse(self, request_id, status, detail):
+        self.ctx.counts["refused"] += 1
+        self.ctx.act(
+            Problem(request_id, status, NOT_RUN, detail, self.rules.retry_after_s)
+        )
+
+    def _stop_waiting(self, row):
+        self.waiting.get(row.service, {}).pop(row.request_id, None)
+
+    def _end_attempt(self, row):
+        attempt, row.attempt = row.attempt, None
+        if attempt is not None:
+            self._by_attempt.pop(attempt.attempt_id, None)
+            attempt.member.in_flight -= 1
+
+    def _forget(self, row):
+        self._stop_waiting(row)
+        self._end_attempt(row)
+        self.rows.pop(row.request_id, None)
+
+
+def _order(row):
+    """Return the place of a waiting request in the queue."""
+    return row.route.priority, row.arrived_s, row.request_id
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/region_shares.py
@@ -0,0 +1,95 @@
+"""Shares of a service's requests by region, in proportion to room and demand."""
+
+import attrs
+
+from snipebay_policy.routes import Split
+
+__all__ = ["RegionShares", "wanted_shares"]
+
+
+def wanted_shares(home, capacity, demand):
+    """Return the share that each region should take of the requests at home.
+
+    All regions come to the same use of their slots: a region keeps what its
+    part of the capacity covers and gives the rest to those with a surplus.
+
+    Args:
+        home: Region where the requests arrive.
+        capacity: Slots by region, only regions that have any.
+        demand: Requests per second by region.
+    """
+    if not capacity:
+        return {}
+    slots, load = sum(capacity.values()), sum(demand.values())
+    if not load:
+        return {home: 1.0} if home in capacity else _normal(capacity)
+    room = {region: count / slots for region, count in capacity.items()}
+    need = {region: count / load for region, count in demand.items()}
+    own = need.get(home, 0.0)
+    kept = min(1.0, room.get(home, 0.0) / own) if own else float(home in capacity)
+    surplus = {r: max(0.0, room[r] - need.get(r, 0.0)) for r in room if r != home}
+    if kept >= 1.0 or not sum(surplus.values()):
+        return {home: 1.0} if home in capacity else _normal(capacity)
+    shares = {r: (1.0 - kept) * part for r, part in _normal(surplus).items()}
+    return {**shares, home: kept} if kept else shares
+
+
+@attrs.define
+class RegionShares:
+    """Shares in force, which follow the wanted ones at a bounded speed.
+
+    Attributes:
+        home: Our region.
+        per_s: Greatest part of the requests that changes region in a second.
+        shares: Share by region.
+    """
+
+    home: str
+    per_s: float
+    shares: dict = attrs.Factory(dict)
+    _at_s: float | None = None
+    _splits: dict = attrs.Factory(dict)
+
+    def move(self, capacity, demand, now_s):
+        """Bring the shares forward to a time."""
+        wanted = wanted_shares(self.home, capacity, demand)
+        # A region without room is left at once, whatever the speed.
+        kept = {r: share for r, share in self.shares.items() if r in capacity}
+        elapsed_s = now_s - self._at_s if self._at_s is not None else 0.0
+        self._at_s = now_s
+        if not sum(kept.values()):
+            self.shares = wanted
+        else:
+            self.shares = _step(_normal(kept), wanted, self.per_s * elapsed_s)
+
+    def next(self, allowed=()):
+        """Return the region whose turn it is, or None when none has room.
+
+        Args:
+            allowed: Regions to choose from, empty for all.
+        """
+        weights = tuple(
+            (region, share)
+            for region, share in sorted(self.shares.items())
+            if not allowed or region in allowed
+        )
+        names = tuple(region for region, _ in weights)
+        split = self._splits.get(names)
+        if split is None:
+            split = self._splits[names] = Split(weights)
+        split.weights = weights
+        return split.next()
+
+
+def _normal(parts):
+    total = sum(parts.values())
+    return {name: part / total for name, part in parts.items() if part > 0}
+
+
+def _step(shares, wanted, most):
+    """Return shares moved towards the wanted ones by at most one amount."""
+    regions = sorted({*shares, *wanted})
+    gaps = {r: wanted.get(r, 0.0) - shares.get(r, 0.0) for r in regions}
+    moved = sum(gap for gap in gaps.values() if gap > 0)
+    part = 1.0 if moved <= most else most / moved
+    return {r: shares.get(r, 0.0) + part * gaps[r] for r in regions}
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -0,0 +1,250 @@
+"""An entry instance that forwards by the traffic plan: time and news in, actions out."""
+
+import collections
+import math
+
+import attrs
+from snipebay_model import messages
+from snipebay_model.messages import Renew
+from snipebay_model.plan import RequestLimits
+from snipebay_model.view import View
+
+from snipebay_policy.budget import RetryBudget
+from snipebay_policy.commands import CommandSystem
+from snipebay_policy.fleet import Fleet
+from snipebay_policy.forward import ForwardRules, ForwardSystem
+from snipebay_policy.region_shares import RegionShares
+from snipebay_policy.routes import RouteTable
+from snipebay_policy.shares import ShareMeter
+from snipebay_policy.work import Send
+
+__all__ = ["RoutedConfig", "RoutedCore"]
+
+# Time constant of the arrival rates that instances report.
+RATE_WINDOW_S = 3.0
+DEFAULT_LIMITS = RequestLimits()
+
+
+@attrs.frozen
+class RoutedConfig:
+    """Identity, times and limits of an entry instance.
+
+    Attributes:
+        row: Ourselves as others see us.
+        renew_s: Between two renewals of our lease.
+        shares_s: Between two updates of the shares by region.
+        shift_per_s: Greatest part of the requests that changes region in a second.
+        spill_share: Share of requests that may leave the region chosen for them.
+        forward: Rules of forwarding.
+    """
+
+    row: object
+    renew_s: float = 0.5
+    shares_s: float = 0.2
+    shift_per_s: float = 0.03
+    spill_share: float = 0.05
+    forward: ForwardRules = ForwardRules()
+
+
+class RoutedCore:
+    """Pure entry instance for routed requests.
+
+    The adapter hands in what happens, then carries out :meth:`take_actions`.
+
+    Args:
+        cfg: Identity, times and limits.
+        controls: Ids of the control instances to ask first.
+    """
+
+    def __init__(self, cfg, controls):
+        self.cfg = cfg
+        self.row = cfg.row
+        self.region = cfg.row.region
+        self.view = View()
+        self.table = None
+        self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
+        self.counts = collections.Counter()
+        self.commands = CommandSystem(self, controls)
+        self.forward = ForwardSystem(self, cfg.forward)
+        self._seeds = tuple(controls)
+        self._demand = {}
+        self._shares = {}
+        self._meters = {}
+        self._budgets = {}
+        self._arrivals = collections.Counter()
+        self._rates = {}
+        self._actions = []
+        self._next_renew_s = 0.0
+        self._next_shares_s = 0.0
+        self._answered_s = 0.0
+        self._rated_s = 0.0
+
+    # --- state ------------------------------------------------------------
+
+    @property
+    def is_ready(self):
+        """True once a traffic plan is in force here."""
+        return self.table is not None
+
+    @property
+    def limits(self):
+        """Limits on requests in force."""
+        return self.view.plan.limits if self.view.plan else DEFAULT_LIMITS
+
+    @property
+    def is_idle(self):
+        return not self.forward.rows
+
+    def act(self, action):
+        """Put an action into the queue for the adapter."""
+        self._actions.append(action)
+
+    def take_actions(self):
+        """Return the actions since the last call."""
+        actions, self._actions = self._actions, []
+        return actions
+
+    # --- inputs -----------------------------------------------------------
+
+    def receive(self, sender, body, now_s):
+        """Take in a message from a control instance."""
+        self.commands.now_s = now_s
+        if isinstance(body, messages.RenewReply):
+            self._on_renew_reply(body, now_s)
+        elif isinstance(body, messages.CommandReply):
+            self.commands.on_reply(body, now_s)
+
+    def tick(self, now_s):
+        """Run all systems over the tables at a time."""
+        self.commands.tick(now_s)
+        self.forward.tick(now_s)
+        if now_s >= self._next_shares_s:
+            self._next_shares_s = now_s + self.cfg.shares_s
+            self._move_shares(now_s)
+        if now_s >= self._next_renew_s:
+            self._renew(now_s)
+
+    def leave(self, now_s):
+        """Ask to be left out of look-ups before a planned stop."""
+        self.row = attrs.evolve(self.row, leaving=True)
+        self._renew(now_s)
+
+    def lookup(self, domain, region):
+        """Return the addresses of entry instances for a caller, nearest first.
+
+        Args:
+            domain: Failure domain of the caller.
+            region: Region of the caller.
+        """
+        rows = [row for row in self.view.entries if not row.leaving]
+        near = [row for row in rows if row.domain == domain]
+        mid = [row for row in rows if row.region == region]
+        # One alone would leave its callers with nothing when it fails.
+        found = near if len(near) > 1 else mid or rows
+        return [row.address for row in found]
+
+    def learn_controls(self, controls):
+        """Take in further control instances to ask."""
+        self._seeds = tuple(controls)
+        known = (*self.commands.controls, *controls)
+        self.commands.controls = tuple(dict.fromkeys(known))
+
+    # --- tables for the systems -------------------------------------------
+
+    def shares(self, service):
+        """Return the shares by region of a service."""
+        if service not in self._shares:
+            self._shares[service] = RegionShares(self.region, self.cfg.shift_per_s)
+        return self._shares[service]
+
+    def spill(self, service):
+        """Return the meter of requests that left the region chosen for them."""
+        if service not in self._meters:
+            self._meters[service] = ShareMeter(self.cfg.spill_share)
+        return self._meters[service]
+
+    def budget(self, service):
+        """Return our part of the retry budget of a service."""
+        if service not in self._budgets:
+            ratio = self.cfg.forward.retry_ratio
+            self._budgets[service] = RetryBudget(ratio, self._retry_credit())
+        return self._budgets[service]
+
+    def _retry_credit(self):
+        """Return our part of the retries that are allowed beyond the ratio."""
+        slack = self.cfg.forward.retry_slack
+        return max(1.0, slack / max(1, len(self.view.entries)))
+
+    def cold_per_s(self, service):
+        """Return the rate that a cold backend server of a service tolerates."""
+        found = self.table.services.get(service) if self.table else None
+        return found.cold_per_s if found else math.inf
+
+    def arrived(self, service):
+        """Count a request."""
+        self._arrivals[service] += 1
+        self.budget(service).earn()
+        self.spill(service).arrive({})
+
+    # --- control ----------------------------------------------------------
+
+    def _renew(self, now_s):
+        self._next_renew_s = now_s + self.cfg.renew_s
+        if now_s - self._answered_s > 2 * self.cfg.renew_s:
+            self.commands.lose_leader()
+        report = Renew(
+            self.row,
+            int(now_s * 1_000),
+            self.view.revision,
+            self.view.revision,
+            load_reports={s: len(w) for s, w in self.forward.waiting.items() if w},
+            arrivals=self._rate(now_s),
+        )
+        self.act(Send(self.commands.target(), report))
+
+    def _rate(self, now_s):
+        """Return requests per second by service, as a moving average."""
+        elapsed_s = now_s - self._rated_s
+        self._rated_s = now_s
+        if elapsed_s > 0:
+            part = 1 - math.exp(-elapsed_s / RATE_WINDOW_S)
+            for service in sorted({*self._rates, *self._arrivals}):
+                newest = self._arrivals[service] / elapsed_s
+                old = self._rates.get(service, newest)
+                self._rates[service] = old + part * (newest - old)
+            self._arrivals.clear()
+        return dict(self._rates)
+
+    def _on_renew_reply(self, msg, now_s):
+        if msg.controls:
+            self.commands.controls = tuple(dict.fromkeys((*msg.controls, *self._seeds)))
+        if msg.leader:
+            self.commands.leader = msg.leader
+        if msg.quorum_revision == 0:
+            return
+        self._answered_s = now_s
+        self._demand = {}
+        for service, region, per_s in msg.demand:
+            self._demand.setdefault(service, {})[region] = per_s
+        if msg.delta is not None and msg.delta.base <= self.view.revision:
+            self._adopt(msg.delta, now_s)
+
+    def _adopt(self, delta, now_s):
+        view = self.view.apply(delta)
+        if view is self.view:
+            return
+        if view.plan is not self.view.plan and view.plan is not None:
+            self.table = RouteTable(view.plan, self.table)
+        self.view = view
+        for budget in self._budgets.values():
+            budget.most = self._retry_credit()
+        self.fleet.adopt(view, now_s)
+        self._move_shares(now_s)
+        # Tell at once, since operators see by it what is in force.
+        self._renew(now_s)
+
+    def _move_shares(self, now_s):
+        services = self.table.services if self.table else ()
+        for service in services:
+            capacity = self.fleet.capacity(service, now_s)
+            self.shares(service).move(capacity, self._demand.get(service, {}), now_s)
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/routes.py
@@ -0,0 +1,65 @@
+"""Finds the route of a request, and the service that its split gives it."""
+
+import attrs
+
+__all__ = ["RouteTable", "Split"]
+
+
+@attrs.define
+class Split:
+    """Deals requests to services by weight, evenly over any stretch.
+
+    Source: smooth weighted round robin, as in nginx.
+    """
+
+    weights: tuple
+    _credits: list = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._credits = [0.0] * len(self.weights)
+
+    def next(self):
+        """Return the name whose turn it is, or None when no weight is left."""
+        total = sum(weight for _, weight in self.weights)
+        if total <= 0:
+            return None
+        for i, (_, weight) in enumerate(self.weights):
+            self._credits[i] += weight
+        best = max(range(len(self._credits)), key=self._credits.__getitem__)
+        self._credits[best] -= total
+        return self.weights[best][0]
+
+
+class RouteTable:
+    """Routes of one plan by host and path prefix.
+
+    Args:
+        plan: Plan in force.
+        older: Table before it, whose splits go on where weights did not change.
+    """
+
+    def __init__(self, plan, older=None):
+        self.plan = plan
+        self.services = {service.name: service for service in plan.services}
+        self._hosts = {}
+        self._splits = {}
+        for route in sorted(plan.routes, key=lambda r: -len(r.prefix)):
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+            kept = older._splits.get(route.name) if older else None
+            same = kept is not None and kept.weights == route.split
+            self._splits[route.name] = kept if same else Split(route.split)
+
+    def find(self, host, path):
+        """Return the route with the longest prefix of a path, or None."""
+        name = host.lower().rpartition(":")[0] if ":" in host else host.lower()
+        return next(
+            (r for r in self._hosts.get(name, ()) if path.startswith(r.prefix)), None
+        )
+
+    def knows_host(self, host):
+        """Return True for a host with at least one route."""
+        return host.lower() in self._hosts
+
+    def next_service(self, route):
+        """Return the service that takes the next request of a route."""
+        return self._splits[route.name].next()
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -11,6 +11,7 @@
         self.is_open = True
         self.is_connecting = connecting
         self.is_congested = False
+        self.was_reset = False
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
 
     def write(self, data):
--- a/packages/snipebay-testbed/src/snipebay_testbed/http_client.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/http_client.py
@@ -92,7 +92,7 @@
         size = self._sizes.get(call_id, 0)
         self._end(call_id, Answer(status, headers, body, size))
 
-    def on_shed(self, call_id):
+    def on_not_run(self, call_id, status, headers):
         self._end(call_id, Answer(503, {b"snipebay-shed": b"1"}))
 
     def on_failure(self, call_id, reason):
