Requests of one object go to one backend server, by rendezvous

Ruled out: queueing (load 2 to 3 of 6 slots in four of six zones). Change: one home for each object in each failure domain of the own region and one in each other region; a cost of expected time, queue and distance decides; regions are shared out by the requests that run or wait there.

--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -106,11 +106,11 @@
         return min(msg.applied if msg else 0 for msg in reports)
 
     def demand(self, state):
-        """Return rows of service, region and the requests that arrived there."""
+        """Return rows of service, region and the slots that its requests need."""
         totals = {}
         for row in state.entries.values():
             msg = self._report(row)
-            for service, count in (msg.arrivals if msg else {}).items():
+            for service, count in (msg.needs if msg else {}).items():
                 key = (service, row.region)
                 totals[key] = totals.get(key, 0.0) + count
         return tuple((*key, totals[key]) for key in sorted(totals))
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -346,7 +346,7 @@
         backends_seen: Backend servers that renewed here since the last message.
         busy_leaving: Leaving backend servers that still run work from here.
         load_reports: Requests in flight by service, for operators.
-        arrivals: Moving average of requests per second by service.
+        needs: Slots that its requests keep busy by service, a moving average.
     """
 
     row: EntryRow
@@ -356,7 +356,7 @@
     backends_seen: tuple[str, ...] = ()
     busy_leaving: tuple[str, ...] = ()
     load_reports: dict[str, int] = attrs.Factory(dict)
-    arrivals: dict[str, float] = attrs.Factory(dict)
+    needs: dict[str, float] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -374,7 +374,7 @@
         drained: Backend servers that no live entry instance uses any more.
         refused: Why the sender may not join, or empty.
         controls: Control instances to turn to, the leader among them.
-        demand: Rows of service, region and requests per second arriving there.
+        demand: Rows of service, region and the slots that its requests need.
     """
 
     leader: str
--- a/packages/snipebay-node/src/snipebay_node/dialect.py
+++ b/packages/snipebay-node/src/snipebay_node/dialect.py
@@ -15,6 +15,7 @@
         target: Id of the only backend server that may run a request.
         not_run: In an answer, says that the request was not run.
         load: In an answer, requests running, requests waiting, slots.
+        affinity: Name of the cookie that names a request's object.
     """
 
     request_id: bytes = b""
@@ -22,3 +23,4 @@
     target: bytes = b""
     not_run: bytes = b"snipebay-shed"
     load: bytes = b""
+    affinity: str = ""
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -39,6 +39,7 @@
     request_id: str
     arrived_s: float
     relayed: int = 0
+    decision: dict = attrs.Factory(dict)
 
 
 class Forwarder:
@@ -98,9 +99,19 @@
         exchange.stream.on_drained = lambda: self._resume(key)
         timeout_s = int(left) / 1_000 if left else None
         host = exchange.header("host")
-        self.core.forward.arrive(key, host, exchange.path, timeout_s, now_s)
+        self.core.forward.arrive(
+            key, host, exchange.path, timeout_s, now_s, self._affinity(exchange)
+        )
         self.run_actions()
 
+    def _affinity(self, exchange):
+        """Return what names the object that a request concerns, or nothing."""
+        for part in exchange.header("cookie").split(";"):
+            name, _, value = part.strip().partition("=")
+            if name and name == self.dialect.affinity:
+                return value
+        return ""
+
     def carry_out(self, action):
         """Do what the core decided."""
         self._handlers[type(action)](action)
@@ -121,6 +132,7 @@
             return
         exchange = running.exchange
         self._request_of[action.attempt_id] = action.request_id
+        running.decision = action.reason
         left_ms = max(1, int((action.deadline_s - self.clock()) * 1_000))
         self.pool.start(
             UpstreamRequest(
@@ -262,16 +274,16 @@
         return self._request_of.pop(attempt_id, None)
 
     def _note(self, running, outcome, status=0):
-        """Count how a request ended, and log one that failed."""
+        """Count how a request ended, and log what was decided on it."""
         elapsed_s = self.clock() - running.arrived_s
         label = str(status) if status else "cut"
         self.metrics.requests.labels("routed", label).inc()
         self.metrics.latency.labels("routed").observe(elapsed_s)
-        if outcome != "answered":
-            log.info(
-                "request ended",
-                request=running.request_id,
-                outcome=outcome,
-                status=status,
-                elapsed_s=round(elapsed_s, 3),
-            )
+        log.info(
+            "request ended",
+            request=running.request_id,
+            outcome=outcome,
+            status=status,
+            elapsed_s=round(elapsed_s, 3),
+            **running.decision,
+        )
--- a/packages/snipebay-node/src/snipebay_node/frames.py
+++ b/packages/snipebay-node/src/snipebay_node/frames.py
@@ -105,11 +105,12 @@
         if stream is None:
             return
         if stream.is_connecting:
-            if now_s - self._since_s > CONNECT_TIMEOUT_S:
-                stream.abort()
-        elif self._unconfirmed_s is not None:
-            if now_s - self._unconfirmed_s > ACK_TIMEOUT_S:
-                stream.abort()
+            is_silent = now_s - self._since_s > CONNECT_TIMEOUT_S
+        else:
+            since_s = self._unconfirmed_s
+            is_silent = since_s is not None and now_s - since_s > ACK_TIMEOUT_S
+        if is_silent:
+            stream.abort()
 
     def close(self):
         stream, self._stream = self._stream, None
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -6,12 +6,18 @@
 
 from snipebay_policy.deal import rendezvous_rank
 
-__all__ = ["Fleet", "FleetTiming", "Member"]
+__all__ = ["Choice", "Fleet", "FleetTiming", "Member"]
 
 # Time constant with which the load that others caused is taken to end.
 LOAD_DECAY_S = 0.5
-# Added to the load share of a backend server outside the own failure domain.
-DISTANCE_PENALTY = 0.15
+# Cost of leaving the own failure domain, in seconds of latency: a few for the
+# way, the rest for bytes between failure domains, which are billed.
+FAR_DOMAIN_S = 0.05
+# Requests that may wait at a backend server, as a part of its slots.
+QUEUE_SHARE = 1.0
+# Cost of a full backend server over an idle one, in seconds of latency, so that
+# equally good ones share the load.
+SPREAD_S = 0.02
 # Entry instances that use one cold backend server, and their share each of its
 # rate. Were every owner replaced at once, the sum would still be below 1.
 COLD_OWNERS = 3
@@ -74,6 +80,14 @@
         self.reported_s = now_s
 
 
+@attrs.frozen
+class Choice:
+    """A member to send a request to, and whether it is home to its object."""
+
+    member: Member
+    is_home: bool
+
+
 class Fleet:
     """Table of the backend servers in view.
 
@@ -124,32 +138,40 @@
             slots[region] = slots.get(region, 0) + member.row.slots
         return slots
 
-    def choose(self, service, region, now_s, *, depth, exclude, cold_per_s):
-        """Return the member that should take a request, or None.
+    def choose(self, service, region, now_s, *, key, times, exclude, cold_per_s):
+        """Return the :class:`Choice` that should end a request first, or None.
+
+        With a key, each failure domain of our region has one member that is home
+        to it, and each other region has one. All entry instances agree on it, so
+        it has handled the object before.
 
         Args:
             service: Service of the request.
             region: Region that it goes to.
             now_s: Time.
-            depth: Requests that may wait at a backend server.
+            key: Names the object that the request concerns, or empty.
+            times: :class:`ServiceTimes` of the service.
             exclude: Ids that have failed the request.
             cold_per_s: Rate that a cold backend server tolerates in all.
         """
-        best, best_cost = None, math.inf
-        for member in self.usable(service, now_s):
+        members = [m for m in self.usable(service, now_s) if m.row.region == region]
+        homes = self._homes(members, key) if key else frozenset()
+        best, best_cost, best_is_home = None, math.inf, False
+        for member in members:
             row = member.row
-            if row.region != region or row.backend_id in exclude:
-                continue
             load = member.load(now_s)
-            if load >= row.slots + depth:
+            if row.backend_id in exclude or load >= row.slots * (1 + QUEUE_SHARE):
                 continue
             if not self._may_cold(member, cold_per_s, now_s):
                 continue
-            far = row.domain != self.domain
-            cost = (load + 1) / row.slots + (DISTANCE_PENALTY if far else 0.0)
+            is_home = not key or row.backend_id in homes
+            queued = max(0.0, load + 1 - row.slots)
+            cost = times.expected_s(is_home) + queued / row.slots * times.mean_s
+            cost += load / row.slots * SPREAD_S
+            cost += FAR_DOMAIN_S if row.domain != self.domain else 0.0
             if cost < best_cost:
-                best, best_cost = member, cost
-        return best
+                best, best_cost, best_is_home = member, cost, is_home
+        return None if best is None else Choice(best, best_is_home)
 
     def start(self, member, cold_per_s, now_s):
         """Count a request that is sent to a member."""
@@ -175,6 +197,16 @@
         member.ejected_until_s = now_s + min(span_s, self.timing.eject_most_s)
         return True
 
+    def _homes(self, members, key):
+        """Return the ids of the members of one region that are home to a key."""
+        ranked = sorted(members, key=lambda m: rendezvous_rank(key, m.row.backend_id))
+        best = {}
+        for member in ranked:
+            is_ours = member.row.region == self.region
+            place = member.row.domain if is_ours else member.row.region
+            best.setdefault(place, member.row.backend_id)
+        return frozenset(best.values())
+
     def _is_open(self, member):
         row = member.row
         is_evacuated = row.domain in self._evacuated
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -1,5 +1,6 @@
 """Carries requests on routes of the traffic plan to their answers."""
 
+import collections
 import itertools
 
 import attrs
@@ -16,7 +17,6 @@
     Attributes:
         wait_share: Share of the target latency that a request may wait here
             for room, after which it is refused while that is still early.
-        depth_share: Requests that may wait at a backend server, by its slots.
         retry_after_s: When a refused caller should come back.
         least_attempt_s: Time below which another attempt is not worth it.
         retry_ratio: Retries per request, over all entry instances.
@@ -24,7 +24,6 @@
     """
 
     wait_share: float = 0.125
-    depth_share: float = 0.0
     retry_after_s: float = 0.4
     least_attempt_s: float = 0.05
     retry_ratio: float = 0.15
@@ -38,6 +37,8 @@
     attempt_id: int
     member: object
     started_s: float
+    found_slot: bool
+    is_home: bool
     wrote: bool = False
 
 
@@ -50,6 +51,7 @@
         route: Its route when it arrived.
         service: Service that the route's split gave it.
         region: Region that it should run in.
+        key: Names the object that it concerns, or empty.
         arrived_s: When it arrived.
         deadline_s: When it must have been answered.
         attempt: Running attempt, or None.
@@ -64,6 +66,7 @@
     route: object
     service: str
     region: str | None
+    key: str
     arrived_s: float
     deadline_s: float
     attempt: ForwardAttempt | None = None
@@ -92,7 +95,7 @@
 
     # --- from the caller --------------------------------------------------
 
-    def arrive(self, request_id, host, path, timeout_s, now_s):
+    def arrive(self, request_id, host, path, timeout_s, now_s, key=""):
         """Take in a request whose head and body have been read.
 
         Args:
@@ -101,6 +104,7 @@
             path: Path without the query.
             timeout_s: Time that its caller will wait, or None when not told.
             now_s: Time.
+            key: Names the object that it concerns, or empty.
         """
         table = self.ctx.table
         if table is None:
@@ -116,7 +120,8 @@
             route.timeout_s if timeout_s is None else min(timeout_s, route.timeout_s)
         )
         region = self.ctx.shares(service).next(route.allowed_regions)
-        row = ForwardRow(request_id, route, service, region, now_s, now_s + span_s)
+        key = key if route.session_affinity else ""
+        row = ForwardRow(request_id, route, service, region, key, now_s, now_s + span_s)
         self.rows[request_id] = row
         self.ctx.arrived(service)
         self.waiting.setdefault(service, {})[request_id] = row
@@ -167,9 +172,17 @@
                 return
         else:
             fleet.succeed(row.attempt.member)
+            self._note_time(row, now_s)
         row.relayed = True
         self.ctx.act(Relay(row.request_id, attempt_id))
 
+    def _note_time(self, row, now_s):
+        """Learn from an answer that did not wait for a slot."""
+        attempt = row.attempt
+        if attempt.found_slot:
+            elapsed_s = now_s - attempt.started_s
+            self.ctx.times(row.service).note(elapsed_s, attempt.is_home)
+
     def finished(self, attempt_id, now_s):
         """Take note that a relayed answer has ended."""
         row = self._by_attempt.get(attempt_id)
@@ -208,6 +221,10 @@
             return
         self._fail(row, now_s, reason)
 
+    def open_by_service(self):
+        """Return the number of requests that run or wait, by service."""
+        return collections.Counter(row.service for row in self.rows.values())
+
     # --- time -------------------------------------------------------------
 
     def tick(self, now_s):
@@ -238,19 +255,20 @@
             return False
         cold_per_s = self.ctx.cold_per_s(row.service)
         for region in self._regions(row):
-            member = self.ctx.fleet.choose(
+            choice = self.ctx.fleet.choose(
                 row.service,
                 region,
                 now_s,
-                depth=self.rules.depth_share,
+                key=row.key,
+                times=self.ctx.times(row.service),
                 exclude=row.tried,
                 cold_per_s=cold_per_s,
             )
-            if member is None:
+            if choice is None:
                 continue
             if region != row.region and not self._spill(row):
                 return False
-            self._dispatch(row, member, cold_per_s, now_s)
+            self._dispatch(row, choice, cold_per_s, now_s)
             return True
         return False
 
@@ -272,17 +290,39 @@
         meter.shift()
         return True
 
-    def _dispatch(self, row, member, cold_per_s, now_s):
+    def _dispatch(self, row, choice, cold_per_s, now_s):
         self._stop_waiting(row)
-        attempt = ForwardAttempt(next(self._attempt_ids), member, now_s)
+        member = choice.member
+        found_slot = member.load(now_s) + 1 <= member.row.slots
+        attempt = ForwardAttempt(
+            next(self._attempt_ids), member, now_s, found_slot, choice.is_home
+        )
         row.attempt = attempt
         row.attempts += 1
         row.tried.add(member.row.backend_id)
         self._by_attempt[attempt.attempt_id] = row
         self.ctx.fleet.start(member, cold_per_s, now_s)
         self.ctx.counts["dispatched"] += 1
+        reason = {
+            "route": row.route.name,
+            "backend": member.row.backend_id,
+            "domain": member.row.domain,
+            "region_share": row.region,
+            "load": round(member.load(now_s), 1),
+            "slots": member.row.slots,
+            "home": choice.is_home,
+            "attempt": row.attempts,
+            "waited_s": round(now_s - row.arrived_s, 3),
+            "revision": self.ctx.view.revision,
+        }
         self.ctx.act(
-            Dispatch(row.request_id, attempt.attempt_id, member.row, row.deadline_s)
+            Dispatch(
+                row.request_id,
+                attempt.attempt_id,
+                member.row,
+                row.deadline_s,
+                reason,
+            )
         )
 
     # --- ending -----------------------------------------------------------
--- a/packages/snipebay-policy/src/snipebay_policy/region_shares.py
+++ b/packages/snipebay-policy/src/snipebay_policy/region_shares.py
@@ -7,27 +7,34 @@
 __all__ = ["RegionShares", "wanted_shares"]
 
 
+# Use of its slots up to which a region keeps its requests to itself.
+KEEP_USE = 0.6
+
+
 def wanted_shares(home, capacity, demand):
     """Return the share that each region should take of the requests at home.
 
-    All regions come to the same use of their slots: a region keeps what its
-    part of the capacity covers and gives the rest to those with a surplus.
+    A region keeps what fits into its slots up to a level of use and gives the
+    rest to those below that level. Beyond it, all come to the same use.
 
     Args:
         home: Region where the requests arrive.
         capacity: Slots by region, only regions that have any.
-        demand: Requests per second by region.
+        demand: Slots that the requests of each region need.
     """
     if not capacity:
         return {}
     slots, load = sum(capacity.values()), sum(demand.values())
-    if not load:
+    own = demand.get(home, 0.0)
+    if not own:
         return {home: 1.0} if home in capacity else _normal(capacity)
-    room = {region: count / slots for region, count in capacity.items()}
-    need = {region: count / load for region, count in demand.items()}
-    own = need.get(home, 0.0)
-    kept = min(1.0, room.get(home, 0.0) / own) if own else float(home in capacity)
-    surplus = {r: max(0.0, room[r] - need.get(r, 0.0)) for r in room if r != home}
+    level = max(KEEP_USE, load / slots)
+    kept = min(1.0, level * capacity.get(home, 0) / own)
+    surplus = {
+        region: max(0.0, level * count - demand.get(region, 0.0))
+        for region, count in capacity.items()
+        if region != home
+    }
     if kept >= 1.0 or not sum(surplus.values()):
         return {home: 1.0} if home in capacity else _normal(capacity)
     shares = {r: (1.0 - kept) * part for r, part in _normal(surplus).items()}
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -1,4 +1,4 @@
-"""An entry instance that forwards by the traffic plan: time and news in, actions out."""
+"""An entry instance that forwards by the traffic plan."""
 
 import collections
 import math
@@ -15,13 +15,14 @@
 from snipebay_policy.forward import ForwardRules, ForwardSystem
 from snipebay_policy.region_shares import RegionShares
 from snipebay_policy.routes import RouteTable
+from snipebay_policy.service_times import ServiceTimes
 from snipebay_policy.shares import ShareMeter
 from snipebay_policy.work import Send
 
 __all__ = ["RoutedConfig", "RoutedCore"]
 
-# Time constant of the arrival rates that instances report.
-RATE_WINDOW_S = 3.0
+# Time constant of the averages by which instances report their needs.
+NEEDS_WINDOW_S = 2.0
 DEFAULT_LIMITS = RequestLimits()
 
 
@@ -70,14 +71,14 @@
         self._demand = {}
         self._shares = {}
         self._meters = {}
+        self._times = {}
         self._budgets = {}
-        self._arrivals = collections.Counter()
-        self._rates = {}
+        self._needs = {}
         self._actions = []
         self._next_renew_s = 0.0
         self._next_shares_s = 0.0
         self._answered_s = 0.0
-        self._rated_s = 0.0
+        self._sampled_s = 0.0
 
     # --- state ------------------------------------------------------------
 
@@ -120,6 +121,7 @@
         self.forward.tick(now_s)
         if now_s >= self._next_shares_s:
             self._next_shares_s = now_s + self.cfg.shares_s
+            self._sample_needs(now_s)
             self._move_shares(now_s)
         if now_s >= self._next_renew_s:
             self._renew(now_s)
@@ -163,6 +165,12 @@
             self._meters[service] = ShareMeter(self.cfg.spill_share)
         return self._meters[service]
 
+    def times(self, service):
+        """Return how long the backend servers of a service take."""
+        if service not in self._times:
+            self._times[service] = ServiceTimes()
+        return self._times[service]
+
     def budget(self, service):
         """Return our part of the retry budget of a service."""
         if service not in self._budgets:
@@ -182,7 +190,6 @@
 
     def arrived(self, service):
         """Count a request."""
-        self._arrivals[service] += 1
         self.budget(service).earn()
         self.spill(service).arrive({})
 
@@ -198,22 +205,19 @@
             self.view.revision,
             self.view.revision,
             load_reports={s: len(w) for s, w in self.forward.waiting.items() if w},
-            arrivals=self._rate(now_s),
+            needs=dict(self._needs),
         )
         self.act(Send(self.commands.target(), report))
 
-    def _rate(self, now_s):
-        """Return requests per second by service, as a moving average."""
-        elapsed_s = now_s - self._rated_s
-        self._rated_s = now_s
-        if elapsed_s > 0:
-            part = 1 - math.exp(-elapsed_s / RATE_WINDOW_S)
-            for service in sorted({*self._rates, *self._arrivals}):
-                newest = self._arrivals[service] / elapsed_s
-                old = self._rates.get(service, newest)
-                self._rates[service] = old + part * (newest - old)
-            self._arrivals.clear()
-        return dict(self._rates)
+    def _sample_needs(self, now_s):
+        """Average the requests that run or wait, which is what they need of slots."""
+        elapsed_s = now_s - self._sampled_s
+        self._sampled_s = now_s
+        part = 1 - math.exp(-elapsed_s / NEEDS_WINDOW_S)
+        found = self.forward.open_by_service()
+        for service in sorted({*self._needs, *found}):
+            old = self._needs.get(service, 0.0)
+            self._needs[service] = old + part * (found[service] - old)
 
     def _on_renew_reply(self, msg, now_s):
         if msg.controls:
@@ -224,8 +228,8 @@
             return
         self._answered_s = now_s
         self._demand = {}
-        for service, region, per_s in msg.demand:
-            self._demand.setdefault(service, {})[region] = per_s
+        for service, region, slots in msg.demand:
+            self._demand.setdefault(service, {})[region] = slots
         if msg.delta is not None and msg.delta.base <= self.view.revision:
             self._adopt(msg.delta, now_s)
 
--- a/packages/snipebay-policy/src/snipebay_policy/work.py
+++ b/packages/snipebay-policy/src/snipebay_policy/work.py
@@ -104,12 +104,21 @@
 
 @attrs.frozen
 class Dispatch:
-    """Send a request to a backend server."""
+    """Send a request to a backend server.
+
+    Attributes:
+        request_id: The request.
+        attempt_id: The attempt.
+        backend: Where it goes.
+        deadline_s: When it must have been answered.
+        reason: What decided, for the log.
+    """
 
     request_id: int
     attempt_id: int
     backend: BackendRow
     deadline_s: float
+    reason: dict = attrs.Factory(dict)
 
 
 @attrs.frozen
