--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -53,6 +53,8 @@
         peers: Ids of all control instances, ours included; with ``discovers``
             only those to ask first.
         discovers: True when control instances beyond ``peers`` may join.
+        founders: Nodes that begin the group together when their disks are empty,
+            so that any majority of them can; empty once it was begun.
         raft: Times of the replicated log.
         leases: Times of the leases.
         compact_entries: Applied log entries after which a snapshot is taken.
@@ -68,6 +70,7 @@
     hello_s: float = 0.2
     idle_reap_s: float = 60.0
     discovers: bool = False
+    founders: tuple = ()
 
 
 class ControlCore:
@@ -108,6 +111,8 @@
         self._next_hello_s = now_s
         self._next_reap_s = 0.0
         self._applied = self.raft.commit
+        if not self.raft.members and cfg.node in cfg.founders:
+            self.raft.bootstrap(dict.fromkeys(cfg.founders, True))
 
     # --- inputs -----------------------------------------------------------
 
--- /dev/null
+++ b/packages/snipebay-control/tests/test_discovery.py
@@ -0,0 +1,243 @@
+"""Tests of a control group that finds its members by seeds."""
+
+import unittest
+
+import numpy as np
+from snipebay_control.core import ControlConfig
+from snipebay_control.sessions import LeaseTiming
+from snipebay_model.messages import (
+    WITHDRAWN,
+    ApplyPlan,
+    Evacuate,
+    PutBackend,
+    RemoveBackend,
+    Renew,
+)
+from snipebay_model.plan import Plan, Route, RoutedService
+from snipebay_model.view import BackendRow, EntryRow
+from snipebay_testbed.control_rig import ControlRig
+
+SEEDS = ("c1", "c2", "c3")
+LUCK = range(20)
+
+
+def plan(version, timeout_s=1.0):
+    route = Route("r", "a.example", "/a/", True, timeout_s, 0.5, 1, (("s", 1.0),))
+    return Plan(version, (route,), (RoutedService("s"),), source=b"%d" % version)
+
+
+def change(version, base, digest=None):
+    return ApplyPlan(digest or f"d{version}", base, plan(version))
+
+
+def backend(backend_id="i-1", address="10.0.0.1:80", **values):
+    values = {"born_ms": 100, "sequence": 1, **values}
+    return BackendRow(backend_id, "s", address, "a", "a-1", 4, **values)
+
+
+class DiscoveryCase(unittest.TestCase):
+    def rig(self, seed, size=5, **values):
+        return ControlRig(seed, size, seeds=SEEDS, **values)
+
+    def assert_all_vote(self, rig, count):
+        rig.scheduler.run_for(6.0)
+        members = rig.elect().core.raft.members
+        self.assertEqual(sum(members.values()), count, members)
+
+
+class TestFounding(DiscoveryCase):
+    def test_all_join_and_vote(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                self.assert_all_vote(self.rig(seed, loss=0.05), 5)
+
+    def test_one_seed_down_at_the_first_start(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed, absent=("c2",))
+                rig.elect(10.0)
+                rig.hosts["c2"].start()
+                self.assert_all_vote(rig, 5)
+
+    def test_instances_that_are_no_seeds_never_found(self):
+        rig = self.rig(1, absent=SEEDS)
+        rig.scheduler.run_for(20.0)
+        self.assertIsNone(rig.leader)
+        self.assertFalse(rig.hosts["c4"].core.raft.members)
+
+    def test_wiped_seed_joins_anew_and_does_not_found(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed)
+                self.assert_all_vote(rig, 5)
+                rig.call(change(1, 0))
+                rig.hosts["c1"].lose_disk()
+                rig.hosts["c1"].start()
+                self.assertFalse(rig.hosts["c1"].core.raft.members)
+                self.assert_all_vote(rig, 5)
+                self.assertEqual(rig.hosts["c1"].core.state.plan.version, 1)
+                self.assertIn("c1#a+", rig.leader.core.raft.members)
+                self.assertNotIn("c1#a", rig.leader.core.raft.members)
+
+    def test_all_killed_at_once_are_back_soon(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed)
+                self.assert_all_vote(rig, 5)
+                rig.call(change(3, 0))
+                for host in rig.hosts.values():
+                    host.kill()
+                for host in rig.hosts.values():
+                    host.start()
+                rig.elect(6.0)
+                self.assertEqual(rig.leader.core.state.plan.version, 3)
+
+
+class TestPlans(DiscoveryCase):
+    def test_resend_is_answered_alike_by_any_leader(self):
+        rig = self.rig(1)
+        self.assert_all_vote(rig, 5)
+        self.assertEqual(rig.call(change(3, 0)).code, "ok")
+        self.assertEqual(rig.call(change(7, 3)).code, "ok")
+        rig.leader.kill()
+        rig.elect()
+        self.assertEqual(rig.call(change(3, 0)).code, "ok")
+        self.assertEqual(rig.leader.core.state.plan.version, 7)
+
+    def test_of_two_changes_on_one_version_one_wins(self):
+        rig = self.rig(2)
+        self.assert_all_vote(rig, 5)
+        first, second = rig.call(change(4, 0, "a")), rig.call(change(4, 0, "b"))
+        self.assertEqual((first.code, second.code), ("ok", "conflict"))
+
+    def test_version_that_does_not_grow_is_invalid(self):
+        rig = self.rig(3)
+        self.assert_all_vote(rig, 5)
+        rig.call(change(4, 0))
+        self.assertEqual(rig.call(change(4, 4, "again")).code, "invalid")
+
+    def test_plan_and_evacuation_outlive_a_snapshot(self):
+        cfg = ControlConfig("", (), compact_entries=10)
+        rig = self.rig(4, cfg=cfg)
+        self.assert_all_vote(rig, 5)
+        rig.call(change(1, 0))
+        rig.call(Evacuate("a-1", True))
+        for number in range(40):
+            rig.call(PutBackend(backend(sequence=number + 1, cold_s=float(number % 2))))
+        rig.scheduler.run_for(1.0)
+        for host in rig.hosts.values():
+            self.assertGreater(host.core.raft.log.snapshot.index, 0)
+            host.kill()
+            host.start()
+        state = rig.elect().core.state
+        self.assertEqual(state.plan.version, 1)
+        self.assertEqual(state.evacuated, {"a-1"})
+        self.assertTrue(state.has_applied("d1"))
+
+
+class TestAnnouncements(DiscoveryCase):
+    def setUp(self):
+        self.rows = self.rig(5)
+        self.assert_all_vote(self.rows, 5)
+        self.rows.call(change(1, 0))
+
+    def put(self, **values):
+        return self.rows.call(PutBackend(backend(**values))).code
+
+    @property
+    def table(self):
+        return self.rows.leader.core.state.backends
+
+    def test_late_announcement_changes_nothing(self):
+        self.put(sequence=4)
+        self.put(sequence=5, leaving=True)
+        self.assertEqual(self.put(sequence=3), "stale")
+        self.assertTrue(self.table["i-1"].leaving)
+
+    def test_restart_under_the_same_id_counts_anew(self):
+        self.put(sequence=9, leaving=True)
+        self.assertEqual(self.put(born_ms=200, sequence=1), "ok")
+        self.assertFalse(self.table["i-1"].leaving)
+
+    def test_withdrawn_incarnation_does_not_come_back(self):
+        self.put()
+        self.rows.call(RemoveBackend("i-1", WITHDRAWN))
+        self.assertEqual(self.put(sequence=2), "stale")
+        self.assertNotIn("i-1", self.table)
+        self.assertEqual(self.put(born_ms=300), "ok")
+
+    def test_address_goes_to_the_newest_incarnation(self):
+        self.put(backend_id="old")
+        self.put(backend_id="new", born_ms=200)
+        self.assertEqual(set(self.table), {"new"})
+        self.assertEqual(self.put(backend_id="old", sequence=7), "stale")
+        self.assertEqual(set(self.table), {"new"})
+
+    def test_unknown_service_names_no_backend_server(self):
+        row = BackendRow("i-9", "nonsense", "10.0.0.1:80", "a", "a-1", 4)
+        self.assertEqual(self.rows.call(PutBackend(row)).code, "invalid")
+        self.assertNotIn("i-9", self.table)
+
+    def test_renewals_write_nothing_to_the_log(self):
+        self.put()
+        before = self.rows.leader.core.raft.log.last_index
+        for number in range(5):
+            self.assertEqual(self.put(sequence=2 + number), "ok")
+        self.assertEqual(self.rows.leader.core.raft.log.last_index, before)
+
+    def test_silent_backend_server_is_removed_after_its_lease(self):
+        self.put()
+        self.rows.scheduler.run_for(2.0)
+        self.assertIn("i-1", self.table)
+        self.rows.scheduler.run_for(2.0)
+        self.assertNotIn("i-1", self.table)
+
+
+class TestEntries(DiscoveryCase):
+    def test_lapsed_instance_is_removed_without_a_witness(self):
+        cfg = ControlConfig("", (), leases=LeaseTiming(settle_s=0, needs_witness=False))
+        rig = self.rig(6, cfg=cfg)
+        leader = self.leader_of(rig)
+        row = EntryRow("e1", "x", "10.0.0.2:80", "e1", "a", "a-1")
+        for _ in range(5):
+            rig.network.send("e1", leader.id, Renew(row, 0, 0, 0))
+            rig.scheduler.run_for(0.3)
+        self.assertIn("e1", leader.core.state.entries)
+        rig.scheduler.run_for(4.0)
+        self.assertNotIn("e1", leader.core.state.entries)
+
+    def leader_of(self, rig):
+        self.assert_all_vote(rig, 5)
+        return rig.leader
+
+
+class TestRandomFaults(DiscoveryCase):
+    def test_nothing_acknowledged_is_lost(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed, loss=0.03, duplicate=0.03)
+                self.assert_all_vote(rig, 5)
+                self.shake(rig, np.random.default_rng(seed))
+
+    def shake(self, rig, rng):
+        """Kill, wipe or cut one instance between changes."""
+        for version in range(1, 7):
+            host = rig.hosts[f"c{rng.integers(1, 6)}"]
+            fault = rng.integers(3)
+            if fault == 0:
+                host.kill()
+            elif fault == 1:
+                host.lose_disk()
+            else:
+                rig.network.cut_off(host.id, rig.hosts)
+            outcome = rig.call(change(version, version - 1))
+            self.assertEqual(outcome.code, "ok")
+            rig.network.heal()
+            if not host.runs:
+                host.start()
+            rig.scheduler.run_for(5.0)
+            self.assertEqual(rig.elect().core.state.plan.version, version)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -319,12 +319,10 @@
                 needs_witness=False,
             ),
             discovers=True,
+            founders=tuple(f"{seed}#{FOUNDER}" for seed in settings.seeds),
         )
         stored = self.storage.load()
         self.control = ControlCore(cfg, stored, self._rng, self.clock())
-        if self.storage.incarnation == FOUNDER and not self.control.raft.members:
-            members = {f"{seed}#{FOUNDER}": True for seed in settings.seeds}
-            self.control.raft.bootstrap(members)
         log.info("control begins", node=self._node_name, term=stored.hard_state.term)
 
     def _end_control(self, exc):
--- /dev/null
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -0,0 +1,196 @@
+"""Tests of the choice of a backend server."""
+
+import unittest
+
+import attrs
+from snipebay_model.view import BackendRow, EntryRow, View
+from snipebay_policy.fleet import COLD_OWNERS, Fleet
+from snipebay_policy.service_times import ServiceTimes
+
+KEYS = [str(number) for number in range(40)]
+
+
+def backend(name, domain="a-1", **values):
+    return BackendRow(
+        name, "s", f"10.0.0.1:{8000 + len(name)}", domain[0], domain, 4, **values
+    )
+
+
+def entry(name):
+    return EntryRow(name, "x", "10.0.1.1:80", name, "a", "a-1")
+
+
+class FleetCase(unittest.TestCase):
+    def setUp(self):
+        self.view = View(
+            1,
+            backends=tuple(
+                backend(f"{domain}-{number}", domain)
+                for domain in ("a-1", "a-2", "b-1", "b-2")
+                for number in range(3)
+            ),
+            entries=tuple(entry(f"e{number}") for number in range(8)),
+        )
+        self.fleet = self.fleet_of("e0")
+        self.times = ServiceTimes(home_s=0.2, away_s=0.6, mean_s=0.2)
+
+    def fleet_of(self, name, now_s=0.0):
+        fleet = Fleet(name, "a", "a-1")
+        fleet.adopt(self.view, now_s)
+        return fleet
+
+    def adopt(self, now_s=0.0, **values):
+        self.view = attrs.evolve(self.view, revision=self.view.revision + 1, **values)
+        self.fleet.adopt(self.view, now_s)
+
+    def choose(self, region="a", key="", now_s=0.0, fleet=None, **values):
+        values = {"exclude": (), "cold_per_s": 5.0, **values}
+        choice = (fleet or self.fleet).choose(
+            "s", region, now_s, key=key, times=self.times, **values
+        )
+        return choice.member if choice else None
+
+
+class TestChoice(FleetCase):
+    def test_own_failure_domain_first(self):
+        self.assertEqual(self.choose().row.domain, "a-1")
+
+    def test_load_evens_out(self):
+        for _ in range(12):
+            self.fleet.start(self.choose(), 5.0, 0.0)
+        own = [
+            m.in_flight for m in self.fleet.members.values() if m.row.domain[0] == "a"
+        ]
+        self.assertLessEqual(max(own) - min(own), 4)
+        self.assertEqual(sum(own), 12)
+
+    def test_none_when_all_are_full(self):
+        for member in self.fleet.members.values():
+            member.report(4, 4, 0.0)
+        self.assertIsNone(self.choose())
+
+    def test_excluded_ones_are_left_out(self):
+        tried = {f"a-1-{number}" for number in range(3)}
+        self.assertEqual(self.choose(exclude=tried).row.domain, "a-2")
+
+    def test_closed_evacuated_and_stale_ones_get_nothing(self):
+        rows = tuple(
+            attrs.evolve(row, leaving=row.backend_id == "a-1-0")
+            for row in self.view.backends
+        )
+        self.adopt(backends=rows, evacuated=("a-2",))
+        self.fleet.members["a-1-1"].is_stale = True
+        usable = [m.row.backend_id for m in self.fleet.usable("s", 0.0)]
+        self.assertEqual([i for i in usable if i[0] == "a"], ["a-1-2"])
+
+    def test_load_of_others_fades_without_news(self):
+        member = self.fleet.members["a-1-0"]
+        member.report(4, 4, 0.0)
+        self.assertEqual(member.load(0.0), 8)
+        self.assertLess(member.load(3.0), 1)
+
+
+class TestHomes(FleetCase):
+    def test_all_instances_agree(self):
+        other = self.fleet_of("e5")
+        for key in KEYS:
+            self.assertEqual(
+                self.choose(key=key).row.backend_id,
+                self.choose(key=key, fleet=other).row.backend_id,
+            )
+
+    def test_objects_spread(self):
+        chosen = [self.choose(key=key).row.backend_id for key in KEYS]
+        self.assertEqual(len(set(chosen)), 3)
+        self.assertLessEqual(max(map(chosen.count, set(chosen))), 24)
+
+    def test_far_region_has_one_home(self):
+        for key in KEYS:
+            first = self.choose("b", key)
+            first.report(2, 0, 0.0)
+            self.assertIs(self.choose("b", key), first)
+
+    def keep_own_domain(self):
+        rows = (row for row in self.view.backends if row.domain == "a-1")
+        self.adopt(backends=tuple(rows))
+
+    def test_short_queue_at_home_beats_an_idle_stranger(self):
+        self.keep_own_domain()
+        home = self.choose(key="k")
+        home.report(4, 1, 0.0)
+        self.assertIs(self.choose(key="k"), home)
+
+    def test_long_queue_does_not(self):
+        self.keep_own_domain()
+        home = self.choose(key="k")
+        home.report(4, 3, 0.0)
+        self.times.mean_s = 1.0
+        self.assertIsNot(self.choose(key="k"), home)
+
+
+class TestColdStart(FleetCase):
+    def setUp(self):
+        super().setUp()
+        self.view = attrs.evolve(
+            self.view, backends=(backend("i", cold_s=3.0, born_ms=5),)
+        )
+        self.fleets = [self.fleet_of(f"e{number}") for number in range(8)]
+
+    def test_sum_over_all_instances_stays_below_the_rate(self):
+        cold_per_s, sent = 5.0, []
+        for step in range(120):
+            now_s = step * 0.025
+            for fleet in self.fleets:
+                member = self.choose(now_s=now_s, fleet=fleet, cold_per_s=cold_per_s)
+                if member is not None:
+                    fleet.start(member, cold_per_s, now_s)
+                    member.in_flight = 0
+                    sent.append(now_s)
+        for start_s in sent:
+            count = sum(start_s <= at_s < start_s + 1 for at_s in sent)
+            self.assertLessEqual(count, cold_per_s + 1)
+        self.assertGreaterEqual(len(sent), COLD_OWNERS)
+
+    def test_warm_again_after_its_time(self):
+        fleet = self.fleets[0]
+        chosen = [self.choose(now_s=3.1, fleet=fleet) for fleet in self.fleets]
+        self.assertTrue(all(chosen))
+        fleet.adopt(attrs.evolve(self.view, revision=9), 4.0)
+        self.assertIsNotNone(self.choose(now_s=4.0, fleet=fleet))
+
+
+class TestEjection(FleetCase):
+    def fail(self, name, times=3, now_s=0.0):
+        return [self.fleet.fail(self.fleet.members[name], now_s) for _ in range(times)]
+
+    def test_failures_in_a_row_eject_for_a_while(self):
+        self.assertEqual(self.fail("a-1-0"), [False, False, True])
+        names = [m.row.backend_id for m in self.fleet.usable("s", 0.5)]
+        self.assertNotIn("a-1-0", names)
+        names = [m.row.backend_id for m in self.fleet.usable("s", 1.0)]
+        self.assertIn("a-1-0", names)
+
+    def test_answer_between_counts(self):
+        self.fail("a-1-0", 2)
+        self.fleet.succeed(self.fleet.members["a-1-0"])
+        self.assertEqual(self.fail("a-1-0", 1), [False])
+
+    def test_ceiling(self):
+        for name in self.fleet.members:
+            self.fail(name)
+        self.assertEqual(len(self.fleet.usable("s", 0.5)), 6)
+
+    def test_one_is_tried_when_all_are_ejected(self):
+        self.adopt(backends=(backend("only"),))
+        self.fleet.members["only"].ejected_until_s = 9.0
+        self.assertEqual(len(self.fleet.usable("s", 0.0)), 1)
+
+    def test_new_incarnation_starts_sound(self):
+        self.fail("a-1-0")
+        rows = tuple(attrs.evolve(row, born_ms=7) for row in self.view.backends)
+        self.adopt(backends=rows)
+        self.assertEqual(self.fleet.members["a-1-0"].failures, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -0,0 +1,257 @@
+"""Tests of routed requests: admission, repeats, refusals and deadlines."""
+
+import unittest
+
+import attrs
+from snipebay_model.messages import RenewReply
+from snipebay_model.plan import Plan, Route, RoutedService
+from snipebay_model.view import BackendRow, EntryRow, ViewDelta
+from snipebay_policy.forward import ForwardRules
+from snipebay_policy.routed import RoutedConfig, RoutedCore
+from snipebay_policy.work import Cancel, Dispatch, Relay, Send
+
+ROUTE = Route("r", "a.example", "/a/", True, 2.0, 0.8, 1, (("s", 1.0),), 2)
+UNSAFE = attrs.evolve(ROUTE, name="u", prefix="/u/", idempotent=False)
+RULES = ForwardRules(retry_slack=10.0)
+
+
+class ForwardCase(unittest.TestCase):
+    backends = 2
+
+    def setUp(self):
+        row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
+        self.core = RoutedCore(RoutedConfig(row, forward=RULES), ("c1",))
+        self.now_s = 0.0
+        plan = Plan(1, (ROUTE, UNSAFE), (RoutedService("s"),))
+        rows = tuple(
+            BackendRow(f"i{n}", "s", f"10.0.1.{n}:80", "a", "a-1", 1)
+            for n in range(self.backends)
+        )
+        self.adopt(
+            ViewDelta(0, 1, whole=True, plan=plan, backends=rows, entries=(row,))
+        )
+        self.actions()
+
+    def adopt(self, delta):
+        reply = RenewReply(
+            "c1", True, quorum_revision=delta.revision, delta=delta, controls=("c1",)
+        )
+        self.core.receive("c1", reply, self.now_s)
+
+    def actions(self, *kinds):
+        found = [a for a in self.core.take_actions() if not isinstance(a, Send)]
+        return [a for a in found if isinstance(a, kinds)] if kinds else found
+
+    def arrive(self, request_id=1, path="/a/x", timeout_s=5.0):
+        self.core.forward.arrive(request_id, "a.example", path, timeout_s, self.now_s)
+        return self.actions()
+
+    def send(self, request_id=1, path="/a/x", timeout_s=5.0):
+        """Arrive, be dispatched and written; return the dispatch."""
+        (dispatch,) = self.arrive(request_id, path, timeout_s)
+        self.assertIsInstance(dispatch, Dispatch)
+        self.assertTrue(self.core.forward.may_write(dispatch.attempt_id, self.now_s))
+        return dispatch
+
+    def tick(self, seconds):
+        self.now_s += seconds
+        self.core.tick(self.now_s)
+        return self.actions()
+
+
+class TestRouting(ForwardCase):
+    def test_no_plan_yet(self):
+        row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
+        self.core = RoutedCore(RoutedConfig(row), ("c1",))
+        (problem,) = self.arrive()
+        self.assertEqual((problem.status, problem.outcome), (503, "not-run"))
+
+    def test_no_route(self):
+        (problem,) = self.arrive(path="/b/")
+        self.assertEqual(problem.status, 404)
+
+    def test_deadline_is_the_shorter_of_route_and_caller(self):
+        self.assertEqual(self.send(1).deadline_s, 2.0)
+        self.assertEqual(self.send(2, timeout_s=0.7).deadline_s, 0.7)
+
+
+class TestRepeats(ForwardCase):
+    def test_idempotent_request_goes_to_another_backend_server(self):
+        first = self.send()
+        self.core.forward.failed(first.attempt_id, "reset", self.now_s)
+        (second,) = self.actions()
+        self.assertNotEqual(second.backend.backend_id, first.backend.backend_id)
+
+    def test_no_more_attempts_than_allowed(self):
+        first = self.send()
+        self.core.forward.failed(first.attempt_id, "reset", self.now_s)
+        (second,) = self.actions()
+        self.core.forward.may_write(second.attempt_id, self.now_s)
+        self.core.forward.failed(second.attempt_id, "reset", self.now_s)
+        (problem,) = self.actions()
+        self.assertEqual((problem.status, problem.outcome), (502, "unknown"))
+
+    def test_unsafe_request_that_was_written_is_never_repeated(self):
+        first = self.send(path="/u/x")
+        self.core.forward.failed(first.attempt_id, "reset", self.now_s)
+        (problem,) = self.actions()
+        self.assertEqual((problem.status, problem.outcome), (502, "unknown"))
+
+    def test_unsafe_request_is_repeated_when_nothing_was_written(self):
+        (first,) = self.arrive(path="/u/x")
+        self.core.forward.failed(first.attempt_id, "no connection", self.now_s)
+        self.assertIsInstance(self.actions()[0], Dispatch)
+
+    def test_unsafe_request_is_repeated_when_it_was_not_run(self):
+        first = self.send(path="/u/x")
+        self.core.forward.not_run(first.attempt_id, "full", self.now_s)
+        self.assertIsInstance(self.actions()[0], Dispatch)
+
+    def test_refusal_by_all_is_told_as_not_run(self):
+        first = self.send(path="/u/x")
+        self.core.forward.not_run(first.attempt_id, "full", self.now_s)
+        (second,) = self.actions()
+        self.core.forward.may_write(second.attempt_id, self.now_s)
+        self.core.forward.not_run(second.attempt_id, "full", self.now_s)
+        (problem,) = self.actions()
+        self.assertEqual((problem.status, problem.outcome), (503, "not-run"))
+
+    def test_refusal_after_a_run_is_told_as_unknown(self):
+        first = self.send()
+        self.core.forward.failed(first.attempt_id, "reset", self.now_s)
+        (second,) = self.actions()
+        self.core.forward.may_write(second.attempt_id, self.now_s)
+        self.core.forward.not_run(second.attempt_id, "full", self.now_s)
+        (problem,) = self.actions()
+        self.assertEqual((problem.status, problem.outcome), (502, "unknown"))
+
+    def test_error_of_a_backend_server_is_repeated_or_relayed_as_it_is(self):
+        first = self.send()
+        self.core.forward.answered(first.attempt_id, 500, self.now_s)
+        cancel, second = self.actions()
+        self.assertIsInstance(cancel, Cancel)
+        self.core.forward.may_write(second.attempt_id, self.now_s)
+        self.core.forward.answered(second.attempt_id, 500, self.now_s)
+        (relay,) = self.actions()
+        self.assertIsInstance(relay, Relay)
+
+    def test_address_that_went_to_another_backend_server_is_not_used_again(self):
+        first = self.send()
+        self.core.forward.not_run(
+            first.attempt_id, "421", self.now_s, is_elsewhere=True
+        )
+        (second,) = self.actions()
+        self.core.forward.may_write(second.attempt_id, self.now_s)
+        self.core.forward.answered(second.attempt_id, 200, self.now_s)
+        self.core.forward.finished(second.attempt_id, self.now_s)
+        self.actions()
+        third = self.send(2)
+        self.assertEqual(third.backend.backend_id, second.backend.backend_id)
+
+    def test_budget_bounds_repeats(self):
+        repeats = 0
+        for request_id in range(60):
+            first = self.send(request_id)
+            self.core.forward.failed(first.attempt_id, "reset", self.now_s)
+            (action,) = self.actions()
+            if isinstance(action, Dispatch):
+                repeats += 1
+                self.core.forward.answered(action.attempt_id, 200, self.now_s)
+                self.core.forward.finished(action.attempt_id, self.now_s)
+                self.actions()
+            self.now_s += 10.0
+        self.assertLessEqual(repeats, RULES.retry_ratio * 60 + RULES.retry_slack)
+        self.assertGreater(repeats, 0)
+
+
+class TestWaiting(ForwardCase):
+    backends = 1
+
+    def fill(self):
+        return [self.send(request_id) for request_id in (1, 2)]
+
+    def test_waits_for_room_and_goes_on(self):
+        first, _ = self.fill()
+        self.assertEqual(self.arrive(3), [])
+        self.core.forward.answered(first.attempt_id, 200, self.now_s)
+        self.core.forward.finished(first.attempt_id, self.now_s)
+        self.assertEqual([a.request_id for a in self.actions(Dispatch)], [3])
+
+    def test_refused_early_with_a_time_to_come_back(self):
+        self.fill()
+        self.arrive(3)
+        self.assertEqual(self.tick(0.05), [])
+        (problem,) = self.tick(0.06)
+        self.assertEqual((problem.status, problem.outcome), (503, "not-run"))
+        self.assertGreater(problem.retry_after_s, 0)
+
+    def test_more_urgent_first(self):
+        urgent = attrs.evolve(ROUTE, name="p", prefix="/p/", priority=0)
+        plan = Plan(2, (ROUTE, urgent), (RoutedService("s"),))
+        self.adopt(ViewDelta(1, 2, plan=plan))
+        self.actions()
+        first, _ = self.fill()
+        self.arrive(3)
+        self.arrive(4, "/p/x")
+        self.core.forward.answered(first.attempt_id, 200, self.now_s)
+        self.core.forward.finished(first.attempt_id, self.now_s)
+        self.assertEqual([a.request_id for a in self.actions(Dispatch)], [4])
+
+
+class TestEnding(ForwardCase):
+    def test_deadline_of_a_written_request(self):
+        self.send()
+        cancel, problem = self.tick(2.0)
+        self.assertIsInstance(cancel, Cancel)
+        self.assertEqual((problem.status, problem.outcome), (504, "unknown"))
+
+    def test_nothing_is_written_past_the_deadline(self):
+        (dispatch,) = self.arrive()
+        self.assertFalse(self.core.forward.may_write(dispatch.attempt_id, 2.0))
+
+    def test_caller_that_left_cancels_an_idempotent_request(self):
+        dispatch = self.send()
+        self.core.forward.caller_gone(1, self.now_s)
+        (cancel,) = self.actions()
+        self.assertEqual(cancel, Cancel(dispatch.attempt_id))
+        self.assertTrue(self.core.is_idle)
+
+    def test_no_repeat_once_the_answer_is_on_its_way(self):
+        dispatch = self.send()
+        self.core.forward.answered(dispatch.attempt_id, 200, self.now_s)
+        self.actions()
+        self.core.forward.failed(dispatch.attempt_id, "cut", self.now_s)
+        self.assertEqual(self.actions(), [])
+        self.assertTrue(self.core.is_idle)
+
+    def test_load_is_counted_back(self):
+        dispatch = self.send(path="/u/x")
+        self.core.forward.caller_gone(1, self.now_s)
+        member = self.core.fleet.members[dispatch.backend.backend_id]
+        self.assertEqual(member.in_flight, 1)
+        self.core.forward.answered(dispatch.attempt_id, 200, self.now_s)
+        self.core.forward.finished(dispatch.attempt_id, self.now_s)
+        self.assertEqual(member.in_flight, 0)
+
+
+class TestLookup(ForwardCase):
+    def test_leaving_and_far_instances_are_left_out(self):
+        rows = tuple(
+            EntryRow(f"e{n}", "x", f"10.0.0.{n}:80", f"e{n}", region, domain, leaving)
+            for n, region, domain, leaving in (
+                (1, "a", "a-1", False),
+                (2, "a", "a-1", False),
+                (3, "a", "a-1", True),
+                (4, "a", "a-2", False),
+                (5, "b", "b-1", False),
+            )
+        )
+        self.adopt(ViewDelta(1, 2, entries=rows, entries_gone=("e0",)))
+        lookup = self.core.lookup
+        self.assertEqual(lookup("a-1", "a"), ["10.0.0.1:80", "10.0.0.2:80"])
+        self.assertEqual(len(lookup("a-2", "a")), 3)
+        self.assertEqual(len(lookup("c-1", "c")), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/snipebay-policy/tests/test_routing.py
@@ -0,0 +1,115 @@
+"""Tests of routes, splits and shares by region."""
+
+import collections
+import unittest
+
+import attrs
+from snipebay_model.plan import Plan, Route, RoutedService
+from snipebay_policy.region_shares import KEEP_USE, RegionShares, wanted_shares
+from snipebay_policy.routes import RouteTable, Split
+
+
+def route(name, prefix, host="a.example", split=(("s", 1.0),)):
+    return Route(name, host, prefix, True, 1.0, 0.5, 1, split)
+
+
+class TestRouteTable(unittest.TestCase):
+    def setUp(self):
+        routes = (route("all", "/"), route("b", "/a/b/"), route("a", "/a/"))
+        self.plan = Plan(1, routes, (RoutedService("s"),))
+        self.table = RouteTable(self.plan)
+
+    def test_longest_prefix_wins(self):
+        for path, name in (
+            ("/a/b/c", "b"),
+            ("/a/b", "a"),
+            ("/a/x", "a"),
+            ("/ab", "all"),
+        ):
+            self.assertEqual(self.table.find("a.example", path).name, name)
+
+    def test_host_is_compared_without_case_and_port(self):
+        self.assertEqual(self.table.find("A.Example:80", "/x").name, "all")
+
+    def test_unknown_host_and_path_have_no_route(self):
+        self.assertIsNone(self.table.find("b.example", "/a/"))
+        table = RouteTable(attrs.evolve(self.plan, routes=(route("a", "/a/"),)))
+        self.assertIsNone(table.find("a.example", "/b/"))
+
+    def test_split_goes_on_over_a_new_plan(self):
+        split = (("s", 1.0), ("t", 1.0))
+        plan = Plan(1, (route("r", "/", split=split),))
+        table = RouteTable(plan)
+        first = table.next_service(plan.routes[0])
+        later = RouteTable(attrs.evolve(plan, version=2), table)
+        self.assertNotEqual(later.next_service(plan.routes[0]), first)
+
+
+class TestSplit(unittest.TestCase):
+    def test_any_stretch_keeps_the_weights(self):
+        split = Split((("a", 90.0), ("b", 10.0)))
+        names = [split.next() for _ in range(100)]
+        self.assertEqual(collections.Counter(names), {"a": 90, "b": 10})
+        self.assertEqual(collections.Counter(names[:50])["b"], 5)
+
+    def test_weight_of_zero_gets_nothing(self):
+        split = Split((("a", 1.0), ("b", 0.0)))
+        self.assertEqual({split.next() for _ in range(20)}, {"a"})
+
+    def test_no_weight_left(self):
+        self.assertIsNone(Split(()).next())
+
+
+class TestWantedShares(unittest.TestCase):
+    def test_region_with_room_keeps_all(self):
+        self.assertEqual(wanted_shares("a", {"a": 10, "b": 10}, {"a": 5.0}), {"a": 1.0})
+
+    def test_region_gives_away_what_is_over_its_level(self):
+        shares = wanted_shares("a", {"a": 10, "b": 50}, {"a": 12.0, "b": 6.0})
+        self.assertAlmostEqual(shares["a"], KEEP_USE * 10 / 12)
+        self.assertAlmostEqual(sum(shares.values()), 1.0)
+
+    def test_beyond_the_level_all_regions_have_the_same_use(self):
+        capacity, demand = {"a": 10, "b": 30}, {"a": 20.0, "b": 20.0}
+        shares = {home: wanted_shares(home, capacity, demand) for home in demand}
+        use = {
+            region: sum(demand[h] * shares[h].get(region, 0) for h in demand) / slots
+            for region, slots in capacity.items()
+        }
+        self.assertAlmostEqual(use["a"], use["b"])
+
+    def test_region_without_backend_servers_gives_all(self):
+        shares = wanted_shares("a", {"b": 10, "c": 30}, {"a": 5.0})
+        self.assertAlmostEqual(shares["c"], 0.75)
+        self.assertNotIn("a", shares)
+
+    def test_nothing_anywhere(self):
+        self.assertEqual(wanted_shares("a", {}, {"a": 1.0}), {})
+
+
+class TestRegionShares(unittest.TestCase):
+    def setUp(self):
+        self.shares = RegionShares("a", per_s=0.03)
+        self.shares.move({"a": 10, "b": 10}, {"a": 1.0}, 0.0)
+
+    def test_moves_at_a_bounded_speed(self):
+        self.shares.move({"a": 10, "b": 50}, {"a": 30.0}, 2.0)
+        self.assertAlmostEqual(self.shares.shares["a"], 0.94)
+
+    def test_leaves_a_lost_region_at_once(self):
+        self.shares.move({"b": 10}, {"a": 1.0}, 0.1)
+        self.assertEqual(self.shares.shares, {"b": 1.0})
+        self.assertEqual(self.shares.next(), "b")
+
+    def test_comes_back_at_a_bounded_speed(self):
+        self.shares.move({"b": 10}, {"a": 1.0}, 0.1)
+        self.shares.move({"a": 10, "b": 10}, {"a": 1.0}, 1.1)
+        self.assertAlmostEqual(self.shares.shares["a"], 0.03)
+
+    def test_only_allowed_regions(self):
+        self.assertEqual(self.shares.next(("a",)), "a")
+        self.assertIsNone(self.shares.next(("c",)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
@@ -113,15 +113,22 @@
         size: Number of control instances.
         cfg: Times to use in place of the usual ones.
         absent: Ids of instances that are not started yet.
+        seeds: Ids of the instances that found the group, which others find it
+            by; empty when all know one another.
         **network: Further arguments of the fake network.
     """
 
-    def __init__(self, seed, size=3, *, cfg=None, absent=(), **network):
+    def __init__(self, seed, size=3, *, cfg=None, absent=(), seeds=(), **network):
         self.rng = np.random.default_rng(seed)
         self.scheduler = Scheduler()
         self.network = FakeNetwork(self.scheduler, self.rng, **network)
         ids = tuple(f"c{i + 1}" for i in range(size))
-        self.cfg = attrs.evolve(cfg or ControlConfig("", ids), peers=ids)
+        self.cfg = attrs.evolve(
+            cfg or ControlConfig("", ids),
+            peers=tuple(seeds) or ids,
+            discovers=bool(seeds),
+            founders=tuple(f"{i}#a" for i in seeds),
+        )
         self.hosts = {i: ControlHost(self, i, "a") for i in ids}
         self.outcomes = {}
         self._requests = 0
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -10,6 +10,7 @@
         self.sent = bytearray()
         self.is_open = True
         self.is_connecting = connecting
+        self.buffered = 0
         self.is_congested = False
         self.was_reset = False
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
@@ -43,6 +44,10 @@
 
     def __init__(self):
         self.streams = []
+        self.accept = None
+
+    def listen(self, address, on_accept):
+        self.accept = on_accept
 
     def connect(self, address):
         self.streams.append(FakeStream(connecting=True))
--- a/packages/snipebay-testbed/src/snipebay_testbed/run_tests.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/run_tests.py
@@ -84,7 +84,8 @@
     """
     paths = sorted(
         str(path)
-        for path in root.glob("packages/*/tests/test_*.py")
+        for folder in ("packages/*", "platform")
+        for path in root.glob(f"{folder}/tests/test_*.py")
         if pattern in str(path)
     )
     known_red = read_known_red(root / KNOWN_RED)
