--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -438,7 +438,9 @@
         plan = self.state.plan
         if not self.cfg.discovers:
             return None
-        if plan is None or all(row.service != known.name for known in plan.services):
+        if plan is None:
+            return Outcome("busy", detail="no traffic plan was accepted yet")
+        if all(row.service != known.name for known in plan.services):
             return Outcome("invalid", detail=f"unknown service {row.service!r}")
         return None
 
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -5,6 +5,7 @@
 from snipebay_policy.work import Cancel, Dispatch, Problem, Relay
 
 from snipebay_node.dialect import Dialect
+from snipebay_node.log_sink import RequestLog
 from snipebay_node.upstream import (
     MISDIRECTED,
     UpstreamPool,
@@ -64,6 +65,7 @@
         self._running = {}
         self._request_of = {}
         self._answers = {}
+        self._log = RequestLog(log)
         self._handlers = {
             Dispatch: self._dispatch,
             Cancel: self._cancel,
@@ -275,15 +277,20 @@
 
     def _note(self, running, outcome, status=0):
         """Count how a request ended, and log what was decided on it."""
-        elapsed_s = self.clock() - running.arrived_s
+        now_s = self.clock()
+        elapsed_s = now_s - running.arrived_s
+        decision = running.decision
         label = str(status) if status else "cut"
         self.metrics.requests.labels("routed", label).inc()
         self.metrics.latency.labels("routed").observe(elapsed_s)
-        log.info(
-            "request ended",
+        is_late = elapsed_s > decision.get("target_s", elapsed_s)
+        is_repeated = decision.get("attempt", 1) > 1
+        self._log.note(
+            now_s,
+            is_notable=outcome != "answered" or is_late or is_repeated,
             request=running.request_id,
             outcome=outcome,
             status=status,
             elapsed_s=round(elapsed_s, 3),
-            **running.decision,
+            **decision,
         )
--- a/packages/snipebay-node/src/snipebay_node/metrics.py
+++ b/packages/snipebay-node/src/snipebay_node/metrics.py
@@ -60,6 +60,8 @@
         for kind, count in counts.items():
             self._decisions.labels(kind).set(count)
 
+    content_type = prometheus_client.CONTENT_TYPE_LATEST
+
     def text(self):
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -305,6 +305,7 @@
         self.ctx.counts["dispatched"] += 1
         reason = {
             "route": row.route.name,
+            "target_s": row.route.target_latency_s,
             "backend": member.row.backend_id,
             "domain": member.row.domain,
             "region_share": row.region,
