Whole objects stay in one region; late requests refused by a stopping instance

Ruled out: homes by failure domain alone (two backend servers in syd, 40 objects). Change: objects in one order, regions take stretches of it by their shares; homes by region where a domain has few backend servers; three places with learned times; an instance refuses requests from 2.5 s after the begin of its stop.

--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -32,6 +32,9 @@
 TICK_S = 0.025
 # Pause before a data folder that could not be used is tried again.
 STORAGE_RETRY_S = 0.5
+# Time after the begin of a stop from which requests are refused: callers have
+# asked for other instances by then, and what was taken before can still end.
+STOP_ADMIT_S = 2.5
 SIGNED_MESSAGES = (*RAFT_MESSAGES, messages.Hello)
 CONTROL_MESSAGES = (
     *SIGNED_MESSAGES,
@@ -270,6 +273,8 @@
     def _go_on_stopping(self, now_s):
         """Stop once all requests have ended, or the time for it is over."""
         elapsed_s = now_s - self._stopping_since_s
+        if self.entry is not None and elapsed_s >= STOP_ADMIT_S:
+            self.entry.forward.is_closed = True
         idle = self.forwarder is None or self.forwarder.is_idle
         is_over = elapsed_s >= self.settings.stop_timeout_s
         if (idle and elapsed_s >= self._stop_wait_s) or is_over:
@@ -282,7 +287,7 @@
     @property
     def _stop_wait_s(self):
         """Time for which callers may still use an answer that names us."""
-        return self.settings.stop_timeout_s / 2 if self.entry is not None else 0.2
+        return STOP_ADMIT_S + 0.5 if self.entry is not None else 0.2
 
     @handler("exception", channel="*")
     def _on_exception(self, kind, exc, trace, handler=None, fevent=None):
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -5,6 +5,7 @@
 import attrs
 
 from snipebay_policy.deal import rendezvous_rank
+from snipebay_policy.service_times import AWAY, HOME, SECOND
 
 __all__ = ["Choice", "Fleet", "FleetTiming", "Member"]
 
@@ -23,6 +24,10 @@
 COLD_OWNERS = 3
 COLD_SHARE = 0.15
 
+# Objects that a backend server is taken to have at hand, of those it handled
+# last; in a trace, answers slowed down from the fifteenth on.
+OBJECTS_AT_HAND = 12
+
 
 @attrs.frozen
 class FleetTiming:
@@ -82,10 +87,10 @@
 
 @attrs.frozen
 class Choice:
-    """A member to send a request to, and whether it is home to its object."""
+    """A member to send a request to, and its place for the request's object."""
 
     member: Member
-    is_home: bool
+    place: int
 
 
 class Fleet:
@@ -96,6 +101,10 @@
         region: Our region.
         domain: Our failure domain.
         timing: Rules for ejections.
+
+    Attributes:
+        members: Member by id.
+        objects: :class:`ObjectTable` by service.
     """
 
     def __init__(self, entry_id, region, domain, timing=None):
@@ -107,6 +116,7 @@
         self._by_service = {}
         self._evacuated = frozenset()
         self._entries = ()
+        self.objects = {}
 
     def adopt(self, view, now_s):
         """Bring the table forward to a view."""
@@ -141,9 +151,8 @@
     def choose(self, service, region, now_s, *, key, times, exclude, cold_per_s):
         """Return the :class:`Choice` that should end a request first, or None.
 
-        With a key, each failure domain of our region has one member that is home
-        to it, and each other region has one. All entry instances agree on it, so
-        it has handled the object before.
+        With a key, one member of the region is home to it and another one is
+        next. All entry instances agree on them, so they have the object at hand.
 
         Args:
             service: Service of the request.
@@ -155,8 +164,8 @@
             cold_per_s: Rate that a cold backend server tolerates in all.
         """
         members = [m for m in self.usable(service, now_s) if m.row.region == region]
-        homes = self._homes(members, key) if key else frozenset()
-        best, best_cost, best_is_home = None, math.inf, False
+        places = self._places(service, members, key) if key else {}
+        best, best_cost, best_place = None, math.inf, HOME
         for member in members:
             row = member.row
             load = member.load(now_s)
@@ -164,14 +173,14 @@
                 continue
             if not self._may_cold(member, cold_per_s, now_s):
                 continue
-            is_home = not key or row.backend_id in homes
+            place = places.get(row.backend_id, AWAY) if key else HOME
             queued = max(0.0, load + 1 - row.slots)
-            cost = times.expected_s(is_home) + queued / row.slots * times.mean_s
+            cost = times.expected_s(place) + queued / row.slots * times.mean_s
             cost += load / row.slots * SPREAD_S
             cost += FAR_DOMAIN_S if row.domain != self.domain else 0.0
             if cost < best_cost:
-                best, best_cost, best_is_home = member, cost, is_home
-        return None if best is None else Choice(best, best_is_home)
+                best, best_cost, best_place = member, cost, place
+        return None if best is None else Choice(best, best_place)
 
     def start(self, member, cold_per_s, now_s):
         """Count a request that is sent to a member."""
@@ -197,15 +206,18 @@
         member.ejected_until_s = now_s + min(span_s, self.timing.eject_most_s)
         return True
 
-    def _homes(self, members, key):
-        """Return the ids of the members of one region that are home to a key."""
+    def _places(self, service, members, key):
+        """Return the places for an object of members of one region, by id.
+
+        A failure domain with enough members has homes of its own, which keeps
+        bytes inside it; elsewhere the whole region shares one.
+        """
         ranked = sorted(members, key=lambda m: rendezvous_rank(key, m.row.backend_id))
-        best = {}
-        for member in ranked:
-            is_ours = member.row.region == self.region
-            place = member.row.domain if is_ours else member.row.region
-            best.setdefault(place, member.row.backend_id)
-        return frozenset(best.values())
+        own = [m for m in ranked if m.row.domain == self.domain]
+        if len(own) * OBJECTS_AT_HAND >= len(self.objects.get(service, ())):
+            ranked = [*own[:2], *ranked] if len(own) > 1 else [*own, *ranked]
+        ids = list(dict.fromkeys(m.row.backend_id for m in ranked))
+        return dict(zip(ids, (HOME, SECOND), strict=False))
 
     def _is_open(self, member):
         row = member.row
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -38,7 +38,7 @@
     member: object
     started_s: float
     found_slot: bool
-    is_home: bool
+    place: int
     wrote: bool = False
 
 
@@ -88,6 +88,7 @@
     def __init__(self, ctx, rules=None):
         self.ctx = ctx
         self.rules = rules or ForwardRules()
+        self.is_closed = False
         self.rows = {}
         self.waiting = {}
         self._by_attempt = {}
@@ -107,6 +108,9 @@
             key: Names the object that it concerns, or empty.
         """
         table = self.ctx.table
+        if self.is_closed:
+            self._refuse(request_id, 503, "this instance is about to stop")
+            return
         if table is None:
             self._refuse(request_id, 503, "no traffic plan is in force here yet")
             return
@@ -119,8 +123,8 @@
         span_s = (
             route.timeout_s if timeout_s is None else min(timeout_s, route.timeout_s)
         )
-        region = self.ctx.shares(service).next(route.allowed_regions)
         key = key if route.session_affinity else ""
+        region = self.ctx.region_for(service, key, route.allowed_regions)
         row = ForwardRow(request_id, route, service, region, key, now_s, now_s + span_s)
         self.rows[request_id] = row
         self.ctx.arrived(service)
@@ -181,7 +185,7 @@
         attempt = row.attempt
         if attempt.found_slot:
             elapsed_s = now_s - attempt.started_s
-            self.ctx.times(row.service).note(elapsed_s, attempt.is_home)
+            self.ctx.times(row.service).note(elapsed_s, attempt.place)
 
     def finished(self, attempt_id, now_s):
         """Take note that a relayed answer has ended."""
@@ -295,7 +299,7 @@
         member = choice.member
         found_slot = member.load(now_s) + 1 <= member.row.slots
         attempt = ForwardAttempt(
-            next(self._attempt_ids), member, now_s, found_slot, choice.is_home
+            next(self._attempt_ids), member, now_s, found_slot, choice.place
         )
         row.attempt = attempt
         row.attempts += 1
@@ -311,7 +315,8 @@
             "region_share": row.region,
             "load": round(member.load(now_s), 1),
             "slots": member.row.slots,
-            "home": choice.is_home,
+            "object": row.key,
+            "place": choice.place,
             "attempt": row.attempts,
             "waited_s": round(now_s - row.arrived_s, 3),
             "revision": self.ctx.view.revision,
--- a/packages/snipebay-policy/src/snipebay_policy/region_shares.py
+++ b/packages/snipebay-policy/src/snipebay_policy/region_shares.py
@@ -9,6 +9,9 @@
 
 # Use of its slots up to which a region keeps its requests to itself.
 KEEP_USE = 0.6
+# Slots below which a region's own demand tells nothing; all regions are then
+# taken to have the same.
+LEAST_DEMAND = 0.5
 
 
 def wanted_shares(home, capacity, demand):
@@ -24,10 +27,11 @@
     """
     if not capacity:
         return {}
-    slots, load = sum(capacity.values()), sum(demand.values())
-    own = demand.get(home, 0.0)
-    if not own:
-        return {home: 1.0} if home in capacity else _normal(capacity)
+    slots = sum(capacity.values())
+    if demand.get(home, 0.0) < LEAST_DEMAND:
+        regions = {*capacity, home}
+        demand = dict.fromkeys(regions, KEEP_USE * slots / len(regions))
+    own, load = demand[home], sum(demand.values())
     level = max(KEEP_USE, load / slots)
     kept = min(1.0, level * capacity.get(home, 0) / own)
     surplus = {
@@ -69,6 +73,27 @@
         else:
             self.shares = _step(_normal(kept), wanted, self.per_s * elapsed_s)
 
+    def region_at(self, position, allowed=()):
+        """Return the region that takes an object at a position, or None.
+
+        Args:
+            position: Place of the object in the order of all, from 0 to 1.
+            allowed: Regions to choose from, empty for all.
+        """
+        rows = [
+            (region, share)
+            for region, share in sorted(
+                self.shares.items(), key=lambda row: (row[0] != self.home, row[0])
+            )
+            if share > 0 and (not allowed or region in allowed)
+        ]
+        left = position * sum(share for _, share in rows)
+        for region, share in rows:
+            left -= share
+            if left < 0:
+                return region
+        return rows[-1][0] if rows else None
+
     def next(self, allowed=()):
         """Return the region whose turn it is, or None when none has room.
 
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -13,6 +13,7 @@
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.forward import ForwardRules, ForwardSystem
+from snipebay_policy.objects import ObjectTable
 from snipebay_policy.region_shares import RegionShares
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_times import ServiceTimes
@@ -42,7 +43,7 @@
     row: object
     renew_s: float = 0.5
     shares_s: float = 0.2
-    shift_per_s: float = 0.03
+    shift_per_s: float = 0.05
     spill_share: float = 0.05
     forward: ForwardRules = ForwardRules()
 
@@ -122,6 +123,8 @@
         if now_s >= self._next_shares_s:
             self._next_shares_s = now_s + self.cfg.shares_s
             self._sample_needs(now_s)
+            for objects in self.fleet.objects.values():
+                objects.settle(now_s)
             self._move_shares(now_s)
         if now_s >= self._next_renew_s:
             self._renew(now_s)
@@ -159,6 +162,21 @@
             self._shares[service] = RegionShares(self.region, self.cfg.shift_per_s)
         return self._shares[service]
 
+    def region_for(self, service, key, allowed):
+        """Return the region that a request should run in, or None.
+
+        Args:
+            service: Service of the request.
+            key: Names the object that it concerns, or empty.
+            allowed: Regions to choose from, empty for all.
+        """
+        shares = self.shares(service)
+        if not key:
+            return shares.next(allowed)
+        objects = self.fleet.objects.setdefault(service, ObjectTable())
+        objects.note(key)
+        return shares.region_at(objects.position(key), allowed)
+
     def spill(self, service):
         """Return the meter of requests that left the region chosen for them."""
         if service not in self._meters:
--- a/packages/snipebay-policy/src/snipebay_policy/service_times.py
+++ b/packages/snipebay-policy/src/snipebay_policy/service_times.py
@@ -2,13 +2,15 @@
 
 import attrs
 
-__all__ = ["ServiceTimes"]
+__all__ = ["AWAY", "HOME", "SECOND", "ServiceTimes"]
 
+# Places of a backend server for an object: the one that gets its requests, the
+# one that gets them when that is busy, and all others.
+HOME, SECOND, AWAY = range(3)
 # Weight of the newest sample.
 WEIGHT = 0.05
 # Before any sample: what matters is that a home is worth a short wait.
-FIRST_HOME_S = 0.2
-FIRST_AWAY_S = 0.4
+FIRST_S = (0.2, 0.3, 0.4)
 
 
 @attrs.define
@@ -16,23 +18,22 @@
     """Moving averages over answers that did not wait for a slot.
 
     Attributes:
-        home_s: At a backend server that is home to the request's object.
-        away_s: Elsewhere.
-        mean_s: Over both.
+        by_place: Seconds at a home, at a second home and elsewhere.
+        mean_s: Over all.
     """
 
-    home_s: float = FIRST_HOME_S
-    away_s: float = FIRST_AWAY_S
-    mean_s: float = FIRST_HOME_S
+    by_place: list = attrs.Factory(lambda: list(FIRST_S))
+    mean_s: float = FIRST_S[HOME]
 
-    def expected_s(self, is_home):
-        """Return the expected time of a request that finds a slot free."""
-        return self.home_s if is_home else max(self.home_s, self.away_s)
+    def expected_s(self, place):
+        """Return the expected time of a request that finds a slot free.
 
-    def note(self, elapsed_s, is_home):
+        A place is never taken to be better than one that gets more requests
+        for the object, whatever few samples say.
+        """
+        return max(self.by_place[: place + 1])
+
+    def note(self, elapsed_s, place):
         """Take in the time of an answer."""
-        if is_home:
-            self.home_s += WEIGHT * (elapsed_s - self.home_s)
-        else:
-            self.away_s += WEIGHT * (elapsed_s - self.away_s)
+        self.by_place[place] += WEIGHT * (elapsed_s - self.by_place[place])
         self.mean_s += WEIGHT * (elapsed_s - self.mean_s)
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import attrs
 from snipebay_model.view import BackendRow, EntryRow, View
 from snipebay_policy.fleet import COLD_OWNERS, Fleet
+from snipebay_policy.objects import ObjectTable
 from snipebay_policy.service_times import ServiceTimes
 
 KEYS = [str(number) for number in range(40)]
@@ -32,7 +33,7 @@
             entries=tuple(entry(f"e{number}") for number in range(8)),
         )
         self.fleet = self.fleet_of("e0")
-        self.times = ServiceTimes(home_s=0.2, away_s=0.6, mean_s=0.2)
+        self.times = ServiceTimes([0.2, 0.3, 0.6], mean_s=0.2)
 
     def fleet_of(self, name, now_s=0.0):
         fleet = Fleet(name, "a", "a-1")
@@ -104,6 +105,13 @@
         self.assertEqual(len(set(chosen)), 3)
         self.assertLessEqual(max(map(chosen.count, set(chosen))), 24)
 
+    def test_region_shares_one_home_when_a_domain_has_too_many_objects(self):
+        objects = self.fleet.objects["s"] = ObjectTable()
+        for key in KEYS:
+            objects.note(key)
+        domains = [self.choose(key=key).row.domain for key in KEYS]
+        self.assertGreater(domains.count("a-2"), 10)
+
     def test_far_region_has_one_home(self):
         for key in KEYS:
             first = self.choose("b", key)
@@ -117,7 +125,7 @@
     def test_short_queue_at_home_beats_an_idle_stranger(self):
         self.keep_own_domain()
         home = self.choose(key="k")
-        home.report(4, 1, 0.0)
+        home.report(4, 0, 0.0)
         self.assertIs(self.choose(key="k"), home)
 
     def test_long_queue_does_not(self):
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -234,6 +234,16 @@
         self.assertEqual(member.in_flight, 0)
 
 
+class TestStopping(ForwardCase):
+    def test_late_requests_are_refused_and_running_ones_end(self):
+        dispatch = self.send()
+        self.core.forward.is_closed = True
+        (problem,) = self.arrive(2)
+        self.assertEqual((problem.status, problem.outcome), (503, "not-run"))
+        self.core.forward.answered(dispatch.attempt_id, 200, self.now_s)
+        self.assertIsInstance(self.actions()[0], Relay)
+
+
 class TestLookup(ForwardCase):
     def test_leaving_and_far_instances_are_left_out(self):
         rows = tuple(
--- a/packages/snipebay-policy/tests/test_routing.py
+++ b/packages/snipebay-policy/tests/test_routing.py
@@ -5,6 +5,7 @@
 
 import attrs
 from snipebay_model.plan import Plan, Route, RoutedService
+from snipebay_policy.objects import ObjectTable
 from snipebay_policy.region_shares import KEEP_USE, RegionShares, wanted_shares
 from snipebay_policy.routes import RouteTable, Split
 
@@ -83,6 +84,11 @@
         self.assertAlmostEqual(shares["c"], 0.75)
         self.assertNotIn("a", shares)
 
+    def test_before_any_demand_all_regions_are_taken_to_have_the_same(self):
+        shares = wanted_shares("a", {"a": 8, "b": 24, "c": 24}, {})
+        self.assertAlmostEqual(shares["a"], 8 * 3 / 56)
+        self.assertEqual(wanted_shares("b", {"a": 8, "b": 24, "c": 24}, {}), {"b": 1.0})
+
     def test_nothing_anywhere(self):
         self.assertEqual(wanted_shares("a", {}, {"a": 1.0}), {})
 
@@ -91,11 +97,36 @@
     def setUp(self):
         self.shares = RegionShares("a", per_s=0.03)
         self.shares.move({"a": 10, "b": 10}, {"a": 1.0}, 0.0)
+        self.assertEqual(self.shares.shares, {"a": 1.0})
 
     def test_moves_at_a_bounded_speed(self):
         self.shares.move({"a": 10, "b": 50}, {"a": 30.0}, 2.0)
         self.assertAlmostEqual(self.shares.shares["a"], 0.94)
 
+    def test_an_object_stays_in_one_region_and_few_move(self):
+        keys = [str(number) for number in range(40)]
+        objects = ObjectTable()
+        for key in keys * 3:
+            objects.note(key)
+        objects.settle(0.0)
+        self.shares.shares = {"a": 0.5, "b": 0.5}
+        before = [self.shares.region_at(objects.position(key)) for key in keys]
+        self.assertEqual(before.count("a"), 20)
+        self.shares.shares = {"a": 0.4, "b": 0.6}
+        after = [self.shares.region_at(objects.position(key)) for key in keys]
+        moved = sum(old != new for old, new in zip(before, after, strict=True))
+        self.assertEqual(moved, 4)
+
+    def test_objects_without_requests_are_forgotten(self):
+        objects = ObjectTable()
+        objects.note("k")
+        objects.settle(0.0)
+        objects.settle(60.0)
+        self.assertEqual(len(objects), 0)
+
+    def test_object_never_seen_has_a_place(self):
+        self.assertEqual(self.shares.region_at(ObjectTable().position("new")), "a")
+
     def test_leaves_a_lost_region_at_once(self):
         self.shares.move({"b": 10}, {"a": 1.0}, 0.1)
         self.assertEqual(self.shares.shares, {"b": 1.0})
