No collapse into misses: busy backend servers take no strangers' objects

Change: a backend server takes requests for objects that it lacks only below half of its slots; a queue is no longer than the target latency leaves.

--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -16,6 +16,13 @@
 FAR_DOMAIN_S = 0.05
 # Requests that may wait at a backend server, as a part of its slots.
 QUEUE_SHARE = 1.0
+# Requests that may wait in any case, so that no slot is idle for a round trip.
+QUEUE_LEAST = 1.0
+LEAST_SERVICE_S = 0.001
+# Use of its slots up to which a backend server takes requests for objects that it
+# does not have at hand. They take several times as long, so beyond it they would
+# displace more work than they do.
+AWAY_SHARE = 0.5
 # Cost of a full backend server over an idle one, in seconds of latency, so that
 # equally good ones share the load.
 SPREAD_S = 0.02
@@ -148,7 +155,9 @@
             slots[region] = slots.get(region, 0) + member.row.slots
         return slots
 
-    def choose(self, service, region, now_s, *, key, times, exclude, cold_per_s):
+    def choose(
+        self, service, region, now_s, *, key, times, target_s, exclude, cold_per_s
+    ):
         """Return the :class:`Choice` that should end a request first, or None.
 
         With a key, one member of the region is home to it and another one is
@@ -160,6 +169,7 @@
             now_s: Time.
             key: Names the object that the request concerns, or empty.
             times: :class:`ServiceTimes` of the service.
+            target_s: Time within which an answer has its full worth.
             exclude: Ids that have failed the request.
             cold_per_s: Rate that a cold backend server tolerates in all.
         """
@@ -169,11 +179,13 @@
         for member in members:
             row = member.row
             load = member.load(now_s)
-            if row.backend_id in exclude or load >= row.slots * (1 + QUEUE_SHARE):
+            place = places.get(row.backend_id, AWAY) if key else HOME
+            if row.backend_id in exclude:
+                continue
+            if load >= _most(row.slots, place, times, target_s):
                 continue
             if not self._may_cold(member, cold_per_s, now_s):
                 continue
-            place = places.get(row.backend_id, AWAY) if key else HOME
             queued = max(0.0, load + 1 - row.slots)
             cost = times.expected_s(place) + queued / row.slots * times.mean_s
             cost += load / row.slots * SPREAD_S
@@ -252,3 +264,16 @@
             member.cold_until_s = -math.inf
         member.row = row
         return member
+
+
+def _most(slots, place, times, target_s):
+    """Return the load up to which a backend server takes one more request.
+
+    Whoever waits there longer than the target leaves is answered late, and
+    keeps a slot busy that another one would have been answered in time by.
+    """
+    if place == AWAY:
+        return slots * AWAY_SHARE
+    spare_s = target_s - times.expected_s(place)
+    queue = slots * spare_s / max(times.mean_s, LEAST_SERVICE_S)
+    return slots + min(max(queue, QUEUE_LEAST), slots * QUEUE_SHARE)
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -265,6 +265,7 @@
                 now_s,
                 key=row.key,
                 times=self.ctx.times(row.service),
+                target_s=row.route.target_latency_s,
                 exclude=row.tried,
                 cold_per_s=cold_per_s,
             )
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -45,7 +45,7 @@
         self.fleet.adopt(self.view, now_s)
 
     def choose(self, region="a", key="", now_s=0.0, fleet=None, **values):
-        values = {"exclude": (), "cold_per_s": 5.0, **values}
+        values = {"exclude": (), "cold_per_s": 5.0, "target_s": 0.5, **values}
         choice = (fleet or self.fleet).choose(
             "s", region, now_s, key=key, times=self.times, **values
         )
@@ -105,6 +105,28 @@
         self.assertEqual(len(set(chosen)), 3)
         self.assertLessEqual(max(map(chosen.count, set(chosen))), 24)
 
+    def test_queue_is_no_longer_than_the_target_leaves(self):
+        self.adopt(backends=(backend("i"),))
+        member = self.fleet.members["i"]
+        for load, target_s, is_taken in (
+            (4, 0.2, True),
+            (5, 0.2, False),
+            (5, 0.3, True),
+            (7, 0.5, True),
+            (8, 9.0, False),
+        ):
+            member.report(load, 0, 0.0)
+            chosen = self.choose(target_s=target_s)
+            self.assertEqual(chosen is not None, is_taken, (load, target_s))
+
+    def test_busy_strangers_take_nothing(self):
+        self.keep_own_domain()
+        for member in self.fleet.members.values():
+            member.report(2, 0, 0.0)
+        for _ in range(2):
+            self.choose(key="k").report(9, 0, 0.0)
+        self.assertIsNone(self.choose(key="k"))
+
     def test_region_shares_one_home_when_a_domain_has_too_many_objects(self):
         objects = self.fleet.objects["s"] = ObjectTable()
         for key in KEYS:
