Entries follow a named leader at once; candidates further apart

Of five candidates within 0.7 s two split the votes twice. Ruled out: connections (regained at 37.4 s), state at the leader (answers at once). Change: a named leader is asked at once; 0.15 s between asks until a plan is in force; candidates over 1.4 s.

--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -32,6 +32,11 @@
 TICK_S = 0.025
 # Pause before a data folder that could not be used is tried again.
 STORAGE_RETRY_S = 0.5
+# Candidates that are apart by more than a round trip between regions (0.07 s)
+# rarely split the votes of five.
+RAFT_TIMING = RaftTiming(
+    heartbeat_s=0.15, election_min_s=0.7, election_max_s=2.1, leader_lease_s=0.6
+)
 # Time after the begin of a stop from which requests are refused: callers have
 # asked for other instances by then, and what was taken before can still end.
 STOP_ADMIT_S = 2.5
@@ -311,12 +316,7 @@
         cfg = ControlConfig(
             self._node_name,
             tuple(settings.seeds),
-            raft=RaftTiming(
-                heartbeat_s=0.15,
-                election_min_s=0.7,
-                election_max_s=1.4,
-                leader_lease_s=0.6,
-            ),
+            raft=RAFT_TIMING,
             leases=LeaseTiming(
                 entry_lease_s=settings.entry_lease_s,
                 settle_s=0.0,
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -34,6 +34,7 @@
     Attributes:
         row: Ourselves as others see us.
         renew_s: Between two renewals of our lease.
+        first_renew_s: The same until a traffic plan is in force here.
         shares_s: Between two updates of the shares by region.
         shift_per_s: Greatest part of the requests that changes region in a second.
         spill_share: Share of requests that may leave the region chosen for them.
@@ -42,6 +43,7 @@
 
     row: object
     renew_s: float = 0.5
+    first_renew_s: float = 0.15
     shares_s: float = 0.2
     shift_per_s: float = 0.05
     spill_share: float = 0.05
@@ -214,9 +216,14 @@
     # --- control ----------------------------------------------------------
 
     def _renew(self, now_s):
-        self._next_renew_s = now_s + self.cfg.renew_s
+        wait_s = self.cfg.renew_s if self.is_ready else self.cfg.first_renew_s
+        self._next_renew_s = now_s + wait_s
         if now_s - self._answered_s > 2 * self.cfg.renew_s:
             self.commands.lose_leader()
+        self._report(self.commands.target(), now_s)
+
+    def _report(self, target, now_s):
+        """Tell a control instance where we stand."""
         report = Renew(
             self.row,
             int(now_s * 1_000),
@@ -225,7 +232,7 @@
             load_reports={s: len(w) for s, w in self.forward.waiting.items() if w},
             needs=dict(self._needs),
         )
-        self.act(Send(self.commands.target(), report))
+        self.act(Send(target, report))
 
     def _sample_needs(self, now_s):
         """Average the requests that run or wait, which is what they need of slots."""
@@ -243,6 +250,9 @@
         if msg.leader:
             self.commands.leader = msg.leader
         if msg.quorum_revision == 0:
+            if msg.leader:
+                # It may not be one of those that we ask in turn.
+                self._report(msg.leader, now_s)
             return
         self._answered_s = now_s
         self._demand = {}
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -244,6 +244,36 @@
         self.assertIsInstance(self.actions()[0], Relay)
 
 
+class TestFindingControl(unittest.TestCase):
+    def setUp(self):
+        row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
+        self.core = RoutedCore(RoutedConfig(row), ("c1", "c2"))
+
+    def targets(self):
+        return [a.target for a in self.core.take_actions() if isinstance(a, Send)]
+
+    def test_leader_that_is_no_seed_is_asked_as_soon_as_it_is_named(self):
+        self.core.tick(5.0)
+        self.assertIn(self.targets()[0], ("c1", "c2"))
+        self.core.receive("c1", RenewReply("c9", False, controls=("c9",)), 5.1)
+        self.assertEqual(self.targets(), ["c9"])
+
+    def test_leader_named_in_vain_is_given_up(self):
+        self.core.tick(5.0)
+        self.core.receive("c1", RenewReply("c9", False), 5.1)
+        self.targets()
+        asked = set()
+        for step in range(4):
+            self.core.tick(6.0 + step)
+            asked.update(self.targets())
+        self.assertEqual(asked, {"c1", "c2"})
+
+    def test_asks_often_until_a_plan_is_in_force(self):
+        for step in range(40):
+            self.core.tick(5.0 + step * 0.025)
+        self.assertGreaterEqual(len(self.targets()), 5)
+
+
 class TestLookup(ForwardCase):
     def test_leaving_and_far_instances_are_left_out(self):
         rows = tuple(
