--- a/packages/snipebay-cli/src/snipebay_cli/__main__.py
+++ b/packages/snipebay-cli/src/snipebay_cli/__main__.py
@@ -1,7 +1,9 @@
 """The operators' command line."""
 
+import contextlib
 import getpass
 import io
+import itertools
 import json
 import os
 import pathlib
@@ -19,6 +21,7 @@
 from snipebay_model.settings import parse_settings
 
 from snipebay_cli.client import ApiError, OperatorClient
+from snipebay_cli.explain import explain_request
 from snipebay_cli.render import (
     diff_lines,
     render_backends,
@@ -158,13 +161,17 @@
 
 
 @app.command
-def explain(service: str, *, common: Common = COMMON):
-    """Show a service's rules, the branch that set each, and where traffic goes.
+def explain(service: str, logs: tuple[str, ...] = (), *, common: Common = COMMON):
+    """Explain where requests of a service go, or what became of one request.
 
     Args:
-        service: Name of the service.
+        service: Name of the service; with logs, id of the request.
+        logs: Log files of instances to look the request up in, /dev/stdin for
+            standard input.
         common: Options of every command.
     """
+    if logs:
+        return _explain_request(common, service, logs)
     result = common.client.current()
     if not isinstance(result, Success):
         return _fail(common, result.failure())
@@ -321,6 +328,26 @@
 # --- shared ---------------------------------------------------------------
 
 
+def _explain_request(common, request, logs):
+    """Print what became of a request, and return the exit code."""
+    try:
+        with contextlib.ExitStack() as stack:
+            files = [stack.enter_context(open(name)) for name in logs]
+            found = explain_request(request, itertools.chain.from_iterable(files))
+    except OSError as exc:
+        print(f"{exc.filename}: {exc.strerror}", file=sys.stderr)
+        return EXIT_USAGE
+    except LookupError as exc:
+        print(exc.args[0], file=sys.stderr)
+        return EXIT_MISSING
+    lines = [json.dumps(row) for row in found.lines]
+    if found.skipped:
+        lines.append(f"{found.skipped} lines could not be read")
+    text = "\n".join([*lines, f"{found.request}: {found.cause}"])
+    _print(common, attrs.asdict(found), text)
+    return EXIT_OK
+
+
 def _read_tree(file):
     """Return the checked tree in a file, or exit when it can't be read."""
     try:
--- /dev/null
+++ b/packages/snipebay-cli/tests/test_explain.py
@@ -0,0 +1,71 @@
+"""Tests of the explanation of a request from logs."""
+
+import json
+import unittest
+
+from snipebay_cli.explain import explain_request
+
+END = {
+    "event": "request ended",
+    "instance": "edge-1",
+    "request": "7",
+    "outcome": "answered",
+    "status": 200,
+    "elapsed_s": 0.2,
+    "backend": "i-1",
+    "domain": "a-1",
+    "load": 5.0,
+    "slots": 4,
+}
+ATTEMPT = {
+    "event": "attempt failed",
+    "request": "7",
+    "backend": "i-0",
+    "reason": "the connection was reset",
+}
+
+
+def explain(*rows, extra=()):
+    return explain_request("7", [*(json.dumps(row) for row in rows), *extra])
+
+
+class TestExplain(unittest.TestCase):
+    def test_answered_after_a_failed_attempt(self):
+        found = explain(END, ATTEMPT)
+        self.assertEqual([row["event"] for row in found.lines][0], "attempt failed")
+        self.assertIn("relayed status 200 of backend server i-1", found.cause)
+        self.assertIn("attempt at i-0 failed: the connection was reset", found.cause)
+
+    def test_refused_unsent(self):
+        row = {"event": "request ended", "instance": "edge-1", "request": "7"}
+        row |= {"outcome": "no backend server has room", "status": 503}
+        cause = explain({**row, "elapsed_s": 0.05}).cause
+        self.assertIn("refused it with 503", cause)
+        self.assertIn("no backend server has room", cause)
+
+    def test_unknown_outcome(self):
+        cause = explain(
+            {**END, "outcome": "the connection was reset", "status": 502}
+        ).cause
+        self.assertIn("gave 502", cause)
+        self.assertIn("load 5.0 of 4 slots", cause)
+
+    def test_cut(self):
+        cause = explain({**END, "outcome": "caller gone", "status": 0}).cause
+        self.assertIn("without an answer", cause)
+
+    def test_lines_that_cannot_be_read_are_counted(self):
+        found = explain(
+            END, extra=("{broken", "no json", "  1.2 edge-1 " + json.dumps(END))
+        )
+        self.assertEqual(found.skipped, 1)
+        self.assertEqual(len(found.lines), 2)
+
+    def test_unknown_request(self):
+        with self.assertRaises(LookupError) as caught:
+            explain({**END, "request": "8"})
+        self.assertIn("'7'", str(caught.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -230,10 +230,11 @@
 
     def on_not_run(self, attempt_id, status, headers):
         self._note_load(attempt_id, headers)
-        self._forget_attempt(attempt_id)
+        reason = f"the backend server refused it with {status}"
+        self._note_attempt(self._forget_attempt(attempt_id), reason)
         self.core.forward.not_run(
             attempt_id,
-            f"the backend server refused it with {status}",
+            reason,
             self.clock(),
             is_elsewhere=status == MISDIRECTED,
         )
@@ -241,6 +242,7 @@
 
     def on_failure(self, attempt_id, reason):
         request_id = self._forget_attempt(attempt_id)
+        self._note_attempt(request_id, reason)
         running = self._running.get(request_id)
         if running is not None and running.relayed == attempt_id:
             del self._running[request_id]
@@ -275,6 +277,19 @@
         self._answers.pop(attempt_id, None)
         return self._request_of.pop(attempt_id, None)
 
+    def _note_attempt(self, request_id, reason):
+        """Log why an attempt failed."""
+        running = self._running.get(request_id)
+        if running is not None:
+            self._log.note(
+                self.clock(),
+                is_notable=True,
+                event="attempt failed",
+                request=running.request_id,
+                reason=reason,
+                **running.decision,
+            )
+
     def _note(self, running, outcome, status=0):
         """Count how a request ended, and log what was decided on it."""
         now_s = self.clock()
--- a/packages/snipebay-node/src/snipebay_node/log_sink.py
+++ b/packages/snipebay-node/src/snipebay_node/log_sink.py
@@ -80,8 +80,8 @@
         self._at_s = 0.0
         self._held_back = 0
 
-    def note(self, now_s, *, is_notable, request, **fields):
-        """Write a line on a request that ended, if it is to have one."""
+    def note(self, now_s, *, is_notable, request, event="request ended", **fields):
+        """Write a line on a request, if it is to have one."""
         if not is_notable and not is_sampled(request):
             return
         gained = (now_s - self._at_s) * LINES_PER_S
@@ -94,7 +94,7 @@
         if self._held_back:
             self._log.warning("request lines held back", count=self._held_back)
             self._held_back = 0
-        self._log.info("request ended", request=request, **fields)
+        self._log.info(event, request=request, **fields)
 
 
 def is_sampled(request):
