--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -18,7 +18,6 @@
     StatusReply,
     StatusRequest,
 )
-from snipebay_model.plan import plan_faults
 from snipebay_model.settings import parse_settings
 from snipebay_model.status import (
     ClusterStatus,
@@ -26,6 +25,7 @@
     MemberStatus,
 )
 
+from snipebay_control.admission import admission
 from snipebay_control.membership import instance_of, next_members
 from snipebay_control.raft import Raft, RaftTiming
 from snipebay_control.sessions import LeaseTiming, Sessions
@@ -394,55 +394,10 @@
             cmd = decode_body(msg.kind, msg.data)
         except CodecError as exc:
             return Outcome("invalid", detail=str(exc))
-        if not self.state.accepts(cmd):
-            return Outcome("invalid", detail=f"{msg.kind!r} is not a command")
-        if isinstance(cmd, messages.ApplyPlan):
-            return self._plan_refusal(cmd)
-        if isinstance(cmd, messages.PutBackend):
-            return self._renewal(cmd.row)
-        if isinstance(cmd, messages.ApplySettings):
-            result = parse_settings(cmd.text)
-            if not isinstance(result, Success):
-                return Outcome("invalid", detail=str(result.failure()))
-        return None
-
-    def _plan_refusal(self, cmd):
-        """Return why a plan can't be proposed, or None when it can."""
-        if self.state.has_applied(cmd.digest):
-            return Outcome("ok", self.state.revision)
-        faults = plan_faults(cmd.plan)
-        return Outcome("invalid", detail="; ".join(faults)) if faults else None
-
-    def _renewal(self, row):
-        """Return the outcome of an announcement that changes nothing, or None."""
-        known = self.state.backends.get(row.backend_id)
-        if known is None:
-            return self._unknown_service(row)
-        if row.sequence < known.sequence:
-            return None
-        # The time for which it is cold runs down by itself.
-        is_cooling = 0 < row.cold_s <= known.cold_s
-        same = attrs.evolve(
-            row,
-            held=known.held,
-            since_revision=known.since_revision,
-            cold_s=known.cold_s if is_cooling else row.cold_s,
-        )
-        if same != known:
-            return None
-        self._grant_backend(row)
-        return Outcome("ok", self.state.revision)
-
-    def _unknown_service(self, row):
-        """Return the refusal of a newcomer that no service of the plan is for."""
-        plan = self.state.plan
-        if not self.cfg.discovers:
-            return None
-        if plan is None:
-            return Outcome("busy", detail="no traffic plan was accepted yet")
-        if all(row.service != known.name for known in plan.services):
-            return Outcome("invalid", detail=f"unknown service {row.service!r}")
-        return None
+        outcome = admission(self.state, cmd, discovers=self.cfg.discovers)
+        if isinstance(cmd, messages.PutBackend) and outcome and outcome.code == "ok":
+            self._grant_backend(cmd.row)
+        return outcome
 
     def _propose(self, cmd):
         return self._propose_encoded(*encode_body(cmd))
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -12,7 +12,8 @@
 from snipebay_policy.budget import RetryBudget
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.fleet import Fleet
-from snipebay_policy.forward import ForwardRules, ForwardSystem
+from snipebay_policy.forward import ForwardSystem
+from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.objects import ObjectTable
 from snipebay_policy.region_shares import RegionShares
 from snipebay_policy.routes import RouteTable
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -6,7 +6,7 @@
 from snipebay_model.messages import RenewReply
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
-from snipebay_policy.forward import ForwardRules
+from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.routed import RoutedConfig, RoutedCore
 from snipebay_policy.work import Cancel, Dispatch, Relay, Send
 
