--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -19,13 +19,10 @@
     StatusRequest,
 )
 from snipebay_model.settings import parse_settings
-from snipebay_model.status import (
-    ClusterStatus,
-    EntryStatus,
-    MemberStatus,
-)
 
 from snipebay_control.admission import admission
+from snipebay_control.cluster_status import cluster_status
+from snipebay_control.joining import Joining
 from snipebay_control.membership import instance_of, next_members
 from snipebay_control.raft import Raft, RaftTiming
 from snipebay_control.sessions import LeaseTiming, Sessions
@@ -99,16 +96,13 @@
         self._outbox = []
         self._waiting = {}
         self._pending = set()
-        self._joining = {}
-        self._contacts = set()
-        self._hellos = {}
+        self.joining = Joining(cfg, self.raft)
         self._pushed = {}
         self._pushed_floors = {}
         self._floors = {}
         self._drained = ()
         self._demand = ()
         self._checked_settings = 0
-        self._next_hello_s = now_s
         self._next_reap_s = 0.0
         self._applied = self.raft.commit
         if not self.raft.members and cfg.node in cfg.founders:
@@ -129,7 +123,7 @@
             if self.cfg.discovers or instance_of(sender) in self.cfg.peers:
                 self.raft.step(sender, body)
         elif isinstance(body, Hello):
-            self._on_hello(sender, body)
+            self._outbox += self.joining.hear(sender, body)
         elif isinstance(body, Renew):
             self._on_renew(sender, body)
         elif isinstance(body, CommandRequest):
@@ -142,7 +136,7 @@
         self._now_s = now_s
         self.raft.tick(now_s)
         if not self.raft.members:
-            self._greet()
+            self._outbox += self.joining.greet(now_s)
         if not self.raft.leads_current_term:
             return
         if self._led_term != self.raft.term:
@@ -203,56 +197,6 @@
         """True while this leader has taken over and can't have been replaced."""
         return self._led_term == self.raft.term and self.raft.holds_lease(self._now_s)
 
-    # --- joining ----------------------------------------------------------
-
-    def _greet(self):
-        if self._now_s < self._next_hello_s:
-            return
-        self._next_hello_s = self._now_s + self.cfg.hello_s
-        own_id = instance_of(self.cfg.node)
-        contacts = dict.fromkeys((*self.cfg.peers, *self._contacts))
-        self._outbox += [(peer, Hello(True)) for peer in contacts if peer != own_id]
-        if not self.cfg.discovers and len(self.cfg.peers) == 1:
-            self.raft.bootstrap({self.cfg.node: True})
-
-    def _on_hello(self, sender, msg):
-        if self.cfg.discovers:
-            self._on_discovery(sender, msg)
-            return
-        if instance_of(sender) not in self.cfg.peers:
-            return
-        if msg.fresh:
-            members = tuple(sorted(self.raft.members.items()))
-            reply = Hello(not members, members)
-            if self.raft.members:
-                self._outbox.append((sender, reply))
-            self._joining[instance_of(sender)] = sender
-        if self.raft.members:
-            return
-        self._hellos[instance_of(sender)] = (sender, msg.fresh)
-        if dict(msg.members).get(self.cfg.node):
-            # Our disk is the one that the first member list was made with.
-            self.raft.bootstrap(dict(msg.members))
-            return
-        others = [
-            self._hellos.get(p)
-            for p in self.cfg.peers
-            if p != instance_of(self.cfg.node)
-        ]
-        if all(hello is not None and hello[1] for hello in others):
-            nodes = [self.cfg.node, *(hello[0] for hello in others)]
-            self.raft.bootstrap(dict.fromkeys(nodes, True))
-
-    def _on_discovery(self, sender, msg):
-        """Let a newcomer join, or learn as one whom else to ask."""
-        if self.raft.members:
-            if msg.fresh:
-                members = tuple(sorted(self.raft.members.items()))
-                self._outbox.append((sender, Hello(False, members)))
-                self._joining[instance_of(sender)] = sender
-            return
-        self._contacts.update(instance_of(node) for node, _ in msg.members)
-
     # --- leadership -------------------------------------------------------
 
     def _begin_leadership(self):
@@ -261,7 +205,7 @@
         self._led_base_ms = self.state.now_ms
         self._waiting.clear()
         self._pending.clear()
-        self._joining.clear()
+        self.joining.newcomers.clear()
         self._pushed.clear()
         self._pushed_floors.clear()
         self._floors = {}
@@ -302,7 +246,7 @@
     def _change_members(self):
         members = next_members(
             self.raft.members,
-            self._joining.values(),
+            self.joining.newcomers.values(),
             self.raft.match_index,
             self.raft.log.last_index,
             lambda node: self.raft.heard_within(node, self.cfg.raft.election_max_s),
@@ -448,33 +392,4 @@
 
     def status(self):
         """Return the state of the system as this leader knows it."""
-        reports = self.sessions.reports
-        return ClusterStatus(
-            leader=self.leader_id,
-            term=self.raft.term,
-            commit=self.raft.commit,
-            revision=self.state.revision,
-            settings_revision=self.state.settings_revision,
-            in_force=self.sessions.in_force(self.state),
-            claims=len(self.state.claims.rows),
-            members=tuple(
-                MemberStatus(
-                    node,
-                    voter,
-                    self.raft.match_index(node),
-                    self.raft.heard_within(node, self.cfg.raft.election_min_s),
-                )
-                for node, voter in sorted(self.raft.members.items())
-            ),
-            entries=tuple(
-                EntryStatus(
-                    row,
-                    reports[entry_id].applied if entry_id in reports else 0,
-                    reports[entry_id].settled if entry_id in reports else 0,
-                    reports[entry_id].load_reports if entry_id in reports else {},
-                )
-                for entry_id, row in sorted(self.state.entries.items())
-            ),
-            backends=tuple(row for _, row in sorted(self.state.backends.items())),
-            drained=self.sessions.drained(self.state, self._now_s),
-        )
+        return cluster_status(self.raft, self.state, self.sessions, self._now_s)
--- /dev/null
+++ b/packages/snipebay-control/src/snipebay_control/joining.py
@@ -0,0 +1,78 @@
+"""How a control instance finds its group: greetings, founding, newcomers."""
+
+from snipebay_model.messages import Hello
+
+from snipebay_control.membership import instance_of
+
+__all__ = ["Joining"]
+
+
+class Joining:
+    """Greets others while there are no members yet, and notes who greets us.
+
+    Args:
+        cfg: Settings of the control instance.
+        raft: Its replicated log.
+
+    Attributes:
+        newcomers: Node that wants to join, by instance id.
+    """
+
+    def __init__(self, cfg, raft):
+        self.peers = tuple(cfg.peers)
+        self.newcomers = {}
+        self._cfg = cfg
+        self._raft = raft
+        self._own_id = instance_of(cfg.node)
+        self._contacts = set()
+        self._hellos = {}
+        self._next_s = 0.0
+
+    def greet(self, now_s):
+        """Return the greetings to send, and found a group of one."""
+        if now_s < self._next_s:
+            return []
+        self._next_s = now_s + self._cfg.hello_s
+        if not self._cfg.discovers and len(self.peers) == 1:
+            self._raft.bootstrap({self._cfg.node: True})
+        targets = dict.fromkeys((*self.peers, *sorted(self._contacts)))
+        return [(target, Hello(True)) for target in targets if target != self._own_id]
+
+    def hear(self, sender, msg):
+        """Take in a greeting or its answer, and return the answers to send."""
+        if self._cfg.discovers:
+            return self._hear_any(sender, msg)
+        if instance_of(sender) in self.peers:
+            return self._hear_peer(sender, msg)
+        return []
+
+    def _hear_any(self, sender, msg):
+        """Let a newcomer join, or learn as one whom else to ask."""
+        if not self._raft.members:
+            self._contacts.update(instance_of(node) for node, _ in msg.members)
+            return []
+        if not msg.fresh:
+            return []
+        self.newcomers[instance_of(sender)] = sender
+        return [(sender, Hello(False, tuple(sorted(self._raft.members.items()))))]
+
+    def _hear_peer(self, sender, msg):
+        """Found the group once all peers greet, or join the one that there is."""
+        answers = []
+        if msg.fresh:
+            self.newcomers[instance_of(sender)] = sender
+            if self._raft.members:
+                members = tuple(sorted(self._raft.members.items()))
+                answers.append((sender, Hello(False, members)))
+        if self._raft.members:
+            return answers
+        self._hellos[instance_of(sender)] = (sender, msg.fresh)
+        if dict(msg.members).get(self._cfg.node):
+            # Our disk is the one that the first member list was made with.
+            self._raft.bootstrap(dict(msg.members))
+            return answers
+        others = [self._hellos.get(p) for p in self.peers if p != self._own_id]
+        if all(hello is not None and hello[1] for hello in others):
+            nodes = [self._cfg.node, *(hello[0] for hello in others)]
+            self._raft.bootstrap(dict.fromkeys(nodes, True))
+        return answers
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -150,9 +150,7 @@
             if self.entry is not None:
                 self.entry.learn_controls(settings.seeds)
             if self.control is not None:
-                self.control.cfg = attrs.evolve(
-                    self.control.cfg, peers=tuple(settings.seeds)
-                )
+                self.control.joining.peers = tuple(settings.seeds)
         log.info("settings reread", seeds=list(settings.seeds))
 
     def begin_stop(self):
