--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -156,7 +156,17 @@
         return slots
 
     def choose(
-        self, service, region, now_s, *, key, times, target_s, exclude, cold_per_s
+        self,
+        service,
+        region,
+        now_s,
+        *,
+        key,
+        times,
+        target_s,
+        exclude,
+        cold_per_s,
+        connections,
     ):
         """Return the :class:`Choice` that should end a request first, or None.
 
@@ -172,7 +182,9 @@
             target_s: Time within which an answer has its full worth.
             exclude: Ids that have failed the request.
             cold_per_s: Rate that a cold backend server tolerates in all.
+            connections: Connections that it takes in all, shared out evenly.
         """
+        own_connections = max(1, connections // max(1, len(self._entries)))
         members = [m for m in self.usable(service, now_s) if m.row.region == region]
         places = self._places(service, members, key) if key else {}
         best, best_cost, best_place = None, math.inf, HOME
@@ -180,7 +192,7 @@
             row = member.row
             load = member.load(now_s)
             place = places.get(row.backend_id, AWAY) if key else HOME
-            if row.backend_id in exclude:
+            if row.backend_id in exclude or member.in_flight >= own_connections:
                 continue
             if load >= _most(row.slots, place, times, target_s):
                 continue
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -189,7 +189,8 @@
         """Return True when a waiting request was sent."""
         if now_s >= row.deadline_s:
             return False
-        cold_per_s = self.ctx.cold_per_s(row.service)
+        service = self.ctx.service(row.service)
+        cold_per_s = service.cold_per_s
         for region in self._regions(row):
             choice = self.ctx.fleet.choose(
                 row.service,
@@ -200,6 +201,7 @@
                 target_s=row.route.target_latency_s,
                 exclude=row.tried,
                 cold_per_s=cold_per_s,
+                connections=service.max_connections,
             )
             if choice is None:
                 continue
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -6,7 +6,7 @@
 import attrs
 from snipebay_model import messages
 from snipebay_model.messages import Renew
-from snipebay_model.plan import RequestLimits
+from snipebay_model.plan import RequestLimits, RoutedService
 from snipebay_model.view import View
 
 from snipebay_policy.budget import RetryBudget
@@ -204,10 +204,10 @@
         slack = self.cfg.forward.retry_slack
         return max(1.0, slack / max(1, len(self.view.entries)))
 
-    def cold_per_s(self, service):
-        """Return the rate that a cold backend server of a service tolerates."""
-        found = self.table.services.get(service) if self.table else None
-        return found.cold_per_s if found else math.inf
+    def service(self, name):
+        """Return a service of the plan, with defaults for an unknown one."""
+        found = self.table.services.get(name) if self.table else None
+        return found or RoutedService(name)
 
     def arrived(self, service):
         """Count a request."""
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -45,7 +45,13 @@
         self.fleet.adopt(self.view, now_s)
 
     def choose(self, region="a", key="", now_s=0.0, fleet=None, **values):
-        values = {"exclude": (), "cold_per_s": 5.0, "target_s": 0.5, **values}
+        values = {
+            "exclude": (),
+            "cold_per_s": 5.0,
+            "target_s": 0.5,
+            "connections": 800,
+            **values,
+        }
         choice = (fleet or self.fleet).choose(
             "s", region, now_s, key=key, times=self.times, **values
         )
@@ -84,6 +90,14 @@
         usable = [m.row.backend_id for m in self.fleet.usable("s", 0.0)]
         self.assertEqual([i for i in usable if i[0] == "a"], ["a-1-2"])
 
+    def test_connections_are_shared_over_all_instances(self):
+        self.adopt(backends=(backend("i"),))
+        member = self.fleet.members["i"]
+        self.assertIsNotNone(self.choose(connections=16))
+        member.in_flight = 2
+        self.assertIsNone(self.choose(connections=16))
+        self.assertIsNotNone(self.choose(connections=24))
+
     def test_load_of_others_fades_without_news(self):
         member = self.fleet.members["a-1-0"]
         member.report(4, 4, 0.0)
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -268,6 +268,15 @@
             asked.update(self.targets())
         self.assertEqual(asked, {"c1", "c2"})
 
+    def test_seeds_that_change_are_asked_and_learned_ones_are_kept(self):
+        self.core.receive("c1", RenewReply("", False, controls=("c7",)), 5.0)
+        self.core.learn_controls(("c8",))
+        asked = set()
+        for step in range(20):
+            self.core.tick(6.0 + step)
+            asked.update(self.targets())
+        self.assertEqual(asked, {"c7", "c8", "c1", "c2"})
+
     def test_asks_often_until_a_plan_is_in_force(self):
         for step in range(40):
             self.core.tick(5.0 + step * 0.025)
