An unsafe request of a caller that left gives its slot back at its deadline

Cause: read again: such a request was forgotten at once, so a backend server that never answered kept one of its slots counted as taken for ever. Change: it stays until its answer, its refusal or its deadline, and is not sent again. Figures: two tests, of which the one at the deadline failed before.

--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -6,7 +6,7 @@
 from snipebay_policy.forward_rows import ForwardAttempt, ForwardRow, ForwardRules
 from snipebay_policy.work import NOT_RUN, UNKNOWN, Cancel, Dispatch, Problem, Relay
 
-__all__ = ["ForwardRow", "ForwardRules", "ForwardSystem"]
+__all__ = ["ForwardSystem"]
 
 
 class ForwardSystem:
@@ -69,13 +69,16 @@
         A request that must not run twice and was sent runs on: nobody can tell
         how far it came, and breaking it off would leave it half done.
         """
-        row = self.rows.pop(request_id, None)
+        row = self.rows.get(request_id)
         if row is None:
             return
-        self._stop_waiting(row)
-        if row.attempt is not None and row.route.idempotent:
+        if row.attempt is not None and not row.route.idempotent:
+            # Its slot stays taken until the answer, or the deadline at the latest.
+            row.relayed = True
+            return
+        if row.attempt is not None:
             self.ctx.act(Cancel(row.attempt.attempt_id))
-            self._end_attempt(row)
+        self._forget(row)
 
     # --- from backend servers ---------------------------------------------
 
@@ -141,6 +144,9 @@
             return
         if is_elsewhere:
             row.attempt.member.is_stale = True
+        if row.relayed:
+            self._forget(row)
+            return
         row.attempt.wrote = False
         self._fail(row, now_s, reason)
 
--- a/packages/snipebay-policy/src/snipebay_policy/routes.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routes.py
@@ -56,10 +56,6 @@
             (r for r in self._hosts.get(name, ()) if path.startswith(r.prefix)), None
         )
 
-    def knows_host(self, host):
-        """Return True for a host with at least one route."""
-        return host.lower() in self._hosts
-
     def next_service(self, route):
         """Return the service that takes the next request of a route."""
         return self._splits[route.name].next()
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -216,6 +216,22 @@
         self.assertEqual(cancel, Cancel(dispatch.attempt_id))
         self.assertTrue(self.core.is_idle)
 
+    def test_unsafe_request_of_a_caller_that_left_ends_at_its_deadline(self):
+        dispatch = self.send(path="/u/x")
+        self.core.forward.caller_gone(1, self.now_s)
+        self.assertEqual(self.actions(), [])
+        self.assertEqual(self.tick(2.0), [Cancel(dispatch.attempt_id)])
+        member = self.core.fleet.members[dispatch.backend.backend_id]
+        self.assertEqual(member.in_flight, 0)
+        self.assertTrue(self.core.is_idle)
+
+    def test_unsafe_request_of_a_caller_that_left_is_not_sent_again(self):
+        dispatch = self.send(path="/u/x")
+        self.core.forward.caller_gone(1, self.now_s)
+        self.core.forward.not_run(dispatch.attempt_id, "full", self.now_s)
+        self.assertEqual(self.actions(), [])
+        self.assertTrue(self.core.is_idle)
+
     def test_no_repeat_once_the_answer_is_on_its_way(self):
         dispatch = self.send()
         self.core.forward.answered(dispatch.attempt_id, 200, self.now_s)
