One action loop for both nodes; dead state out of forwarding

Cause: read again: node.py and routed_node.py repeated the loop that syncs, applies and sends what the cores decide; last_failure was written and never read, and the choice between 502 and 503 stood in two places. Change: ActionLoop holds the loop, each node keeps what differs; the one rule for 502 stays in _give_up. No behaviour is meant to change and no test is.

--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -16,6 +16,7 @@
 from snipebay_policy.entry import EntryCore
 from snipebay_policy.work import Send
 
+from snipebay_node.action_loop import ActionLoop
 from snipebay_node.api import Api
 from snipebay_node.bus import Bus
 from snipebay_node.http_server import HttpServer
@@ -23,7 +24,7 @@
 from snipebay_node.metrics import NodeMetrics
 from snipebay_node.metrics_server import MetricsServer
 from snipebay_node.proxy import Proxy
-from snipebay_node.storage import Storage, StorageError
+from snipebay_node.storage import Storage
 from snipebay_node.streams import StreamHub
 from snipebay_node.ticker import Ticker
 
@@ -43,7 +44,7 @@
 log = structlog.get_logger(__name__)
 
 
-class Node(BaseComponent):
+class Node(ActionLoop, BaseComponent):
     """One instance with its roles.
 
     Args:
@@ -66,8 +67,6 @@
         self._controls = {peer.id: peer.internal for peer in settings.peers}
         self._newcomers = {}
         self._node_name = settings.id
-        self._local = []
-        self._is_running_actions = False
         self._stopping_since_s = None
         self._warned = ""
         self._next_forget_s = 0.0
@@ -145,26 +144,13 @@
         if address:
             self.bus.send(address, self._sender(body), body)
 
-    def run_actions(self):
-        """Carry out what the cores decided until there is nothing left."""
-        if self._is_running_actions:
-            return
-        self._is_running_actions = True
-        try:
-            busy = True
-            while busy:
-                busy = self._work_control() | self._work_entry() | self._work_local()
-        finally:
-            self._is_running_actions = False
-
     def _sender(self, body):
         """Return how we sign a message: control instances by their disk."""
         is_signed = isinstance(body, SIGNED_MESSAGES)
         return self._node_name if is_signed else self.settings.id
 
-    def _on_message(self, sender, body):
-        self._handle(sender, body)
-        self.run_actions()
+    def _own_id(self):
+        return self.settings.id
 
     def _handle(self, sender, body):
         now_s = self.clock()
@@ -195,14 +181,7 @@
             log.error("this instance may not join", reason=refused)
         self._warned = refused
 
-    def _work_local(self):
-        """Deliver messages between our own roles."""
-        bodies, self._local = self._local, []
-        for body in bodies:
-            self._handle(self.settings.id, body)
-        return bool(bodies)
-
-    def _work_entry(self):
+    def _work_clients(self):
         actions = self.entry.take_actions()
         for action in actions:
             if isinstance(action, Send):
@@ -211,26 +190,9 @@
                 self.proxy.carry_out(action)
         return bool(actions)
 
-    def _work_control(self):
-        if self.control is None:
-            return False
-        worked = False
-        while not (ready := self.control.take_ready()).is_empty:
-            worked = True
-            try:
-                self.storage.save(ready)
-            except StorageError as exc:
-                # What can't be synced must not be told, so this role ends here.
-                log.critical("control role ends", error=str(exc))
-                self.control = None
-                return False
-            if ready.needs_sync:
-                self.metrics.syncs.inc()
-            self.control.finish(ready)
-        for target, body in self.control.take_messages():
-            worked = True
-            self.send(target, body)
-        return worked
+    def _end_control(self, exc):
+        log.critical("control role ends", error=str(exc))
+        self.control = None
 
     def _entry_address(self, instance_id):
         for row in self.entry.ctx.view.entries:
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -17,6 +17,7 @@
 from snipebay_policy.routed import RoutedConfig, RoutedCore
 from snipebay_policy.work import Send
 
+from snipebay_node.action_loop import ActionLoop
 from snipebay_node.dialect import Dialect
 from snipebay_node.forwarder import Forwarder
 from snipebay_node.frames import FrameBus
@@ -86,7 +87,7 @@
     dialect: Dialect = Dialect()
 
 
-class RoutedNode(BaseComponent):
+class RoutedNode(ActionLoop, BaseComponent):
     """One instance with its roles.
 
     Args:
@@ -113,8 +114,6 @@
         self.steering = Steering(settings.seeds, self.clock)
         self._rng = random.Random(secrets.randbits(64))
         self._node_name = settings.internal
-        self._local = []
-        self._is_running_actions = False
         self._stopping_since_s = None
         self._storage_retry_s = 0.0
         self._leader = ""
@@ -179,21 +178,8 @@
         sender = self._node_name if is_signed else self.settings.internal
         self.bus.send(address, sender, body)
 
-    def run_actions(self):
-        """Carry out what the cores decided until there is nothing left."""
-        if self._is_running_actions:
-            return
-        self._is_running_actions = True
-        try:
-            busy = True
-            while busy:
-                busy = self._work_control() | self._work_clients() | self._work_local()
-        finally:
-            self._is_running_actions = False
-
-    def _on_message(self, sender, body):
-        self._handle(sender, body)
-        self.run_actions()
+    def _own_id(self):
+        return self.settings.internal
 
     def _handle(self, sender, body):
         now_s = self.clock()
@@ -206,12 +192,6 @@
         else:
             self.steering.receive(body, now_s)
 
-    def _work_local(self):
-        bodies, self._local = self._local, []
-        for body in bodies:
-            self._handle(self.settings.internal, body)
-        return bool(bodies)
-
     def _work_clients(self):
         actions = self.steering.take_actions()
         if self.entry is not None:
@@ -223,26 +203,6 @@
                 self.forwarder.carry_out(action)
         return bool(actions)
 
-    def _work_control(self):
-        if self.control is None:
-            return False
-        worked = False
-        while not (ready := self.control.take_ready()).is_empty:
-            worked = True
-            try:
-                self.storage.save(ready)
-            except StorageError as exc:
-                # What can't be synced must not be told: begin anew from the disk.
-                self._end_control(exc)
-                return False
-            if ready.needs_sync:
-                self.metrics.syncs.inc()
-            self.control.finish(ready)
-        for target, body in self.control.take_messages():
-            worked = True
-            self.send(target, body)
-        return worked
-
     # --- time -------------------------------------------------------------
 
     def _on_tick(self, now_s):
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -107,7 +107,7 @@
             if row.route.idempotent and self._may_repeat(row, now_s):
                 self.ctx.act(Cancel(attempt_id))
                 row.may_have_run = True
-                self._repeat(row, now_s, f"status {status}")
+                self._repeat(row, now_s)
                 return
         else:
             fleet.succeed(row.attempt.member)
@@ -279,9 +279,7 @@
         wrote = row.attempt.wrote
         row.may_have_run |= wrote
         if (row.route.idempotent or not wrote) and self._may_repeat(row, now_s):
-            self._repeat(row, now_s, reason)
-        elif row.may_have_run:
-            self._give_up(row, 502, reason)
+            self._repeat(row, now_s)
         else:
             self._give_up(row, 503, reason)
         self.pump(row.service, now_s)
@@ -295,9 +293,8 @@
             and self.ctx.budget(row.service).spend()
         )
 
-    def _repeat(self, row, now_s, reason):
+    def _repeat(self, row, now_s):
         self.ctx.counts["retries"] += 1
-        row.last_failure = reason
         self._end_attempt(row)
         self.waiting.setdefault(row.service, {})[row.request_id] = row
         self._place(row, now_s)
@@ -317,7 +314,7 @@
         self.pump(row.service, now_s)
 
     def _give_up(self, row, status, detail):
-        """Tell the caller that its request failed."""
+        """Tell the caller that its request failed; 503 only if it did not run."""
         if row.may_have_run and status == 503:
             status = 502
         if row.request_id in self.rows:
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -53,7 +53,6 @@
         tried: Backend servers that it was sent to.
         attempts: Number of attempts so far.
         relayed: True once its answer goes to the caller.
-        last_failure: Why the attempt before failed.
         may_have_run: True when an attempt may have run.
     """
 
@@ -68,5 +67,4 @@
     tried: set = attrs.Factory(set)
     attempts: int = 0
     relayed: bool = False
-    last_failure: str = ""
     may_have_run: bool = False
