Control: a voter that is silent for 15 s is taken out, and joins again

Cause: a control instance that is gone for good stayed in the member list, so each replaced machine raised the majority by a half while it could never answer; two replaced of five need four of seven. Ruled out: taking out at once on a newcomer's greeting, since nothing tells a lost machine from a restarting one then. Change: a leader of 15 s standing takes out a member that did not answer for 15 s, never below the number of founders. A member that has heard no leader for two election times greets again and comes back with the disk it has. Before: seven voters after two replaced machines, no leader with three of the five left alive.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -23,7 +23,7 @@
 from snipebay_control.admission import admission
 from snipebay_control.cluster_status import cluster_status
 from snipebay_control.joining import Joining
-from snipebay_control.membership import instance_of, next_members
+from snipebay_control.membership import instance_of
 from snipebay_control.raft import Raft, RaftTiming
 from snipebay_control.sessions import LeaseTiming, Sessions
 from snipebay_control.state import ControlState
@@ -50,6 +50,8 @@
         peers: Ids of all control instances, ours included; with ``discovers``
             only those to ask first.
         discovers: True when control instances beyond ``peers`` may join.
+        gone_s: Silence after which a member counts as lost and is taken out of
+            the list, with ``discovers``; longer than a machine takes to restart.
         founders: Nodes that begin the group together when their disks are empty,
             so that any majority of them can; empty once it was begun.
         raft: Times of the replicated log.
@@ -67,6 +69,7 @@
     hello_s: float = 0.2
     idle_reap_s: float = 60.0
     discovers: bool = False
+    gone_s: float = 15.0
     founders: tuple = ()
 
 
@@ -135,8 +138,7 @@
         """Run all systems over the tables at a time."""
         self._now_s = now_s
         self.raft.tick(now_s)
-        if not self.raft.members:
-            self._outbox += self.joining.greet(now_s)
+        self._outbox += self.joining.greet(now_s)
         if not self.raft.leads_current_term:
             return
         if self._led_term != self.raft.term:
@@ -148,7 +150,7 @@
         self._read_leases()
         self._expire()
         self._move_clock()
-        self._change_members()
+        self.joining.change_members(now_s, self._led_since_s)
         self._push()
 
     def take_ready(self):
@@ -243,17 +245,6 @@
         elapsed_ms = int((self._now_s - self._led_since_s) * 1_000)
         self._propose(Reap(self._led_base_ms + elapsed_ms))
 
-    def _change_members(self):
-        members = next_members(
-            self.raft.members,
-            self.joining.newcomers.values(),
-            self.raft.match_index,
-            self.raft.log.last_index,
-            lambda node: self.raft.heard_within(node, self.cfg.raft.election_max_s),
-        )
-        if members is not None:
-            self.raft.propose_members(members)
-
     def _push(self):
         """Send entry instances what changed, without waiting to be asked."""
         for entry_id, report in self.sessions.reports.items():
--- a/packages/snipebay-control/src/snipebay_control/joining.py
+++ b/packages/snipebay-control/src/snipebay_control/joining.py
@@ -1,14 +1,14 @@
-"""How a control instance finds its group: greetings, founding, newcomers."""
+"""Who belongs to the control group: greetings, founding, newcomers, the lost."""
 
 from snipebay_model.messages import Hello
 
-from snipebay_control.membership import instance_of
+from snipebay_control.membership import instance_of, next_members
 
 __all__ = ["Joining"]
 
 
 class Joining:
-    """Greets others while there are no members yet, and notes who greets us.
+    """Greets others while we belong to no group, and notes who greets us.
 
     Args:
         cfg: Settings of the control instance.
@@ -29,13 +29,19 @@
         self._next_s = 0.0
 
     def greet(self, now_s):
-        """Return the greetings to send, and found a group of one."""
-        if now_s < self._next_s:
+        """Return the greetings to send, and found a group of one.
+
+        A member that no leader has talked to for long may have been taken out
+        of the list, and greets as well.
+        """
+        members = self._raft.members
+        if now_s < self._next_s or (members and not self._is_forsaken(now_s)):
             return []
         self._next_s = now_s + self._cfg.hello_s
         if not self._cfg.discovers and len(self.peers) == 1:
             self._raft.bootstrap({self._cfg.node: True})
-        targets = dict.fromkeys((*self.peers, *sorted(self._contacts)))
+        known = {*self._contacts, *map(instance_of, members)}
+        targets = dict.fromkeys((*self.peers, *sorted(known)))
         return [(target, Hello(True)) for target in targets if target != self._own_id]
 
     def hear(self, sender, msg):
@@ -46,12 +52,41 @@
             return self._hear_peer(sender, msg)
         return []
 
+    def change_members(self, now_s, led_since_s):
+        """Propose the next change of the member list as leader, if one is due.
+
+        Args:
+            now_s: Time.
+            led_since_s: Since when we lead, before which silence tells nothing.
+        """
+        raft, gone_s = self._raft, self._cfg.gone_s
+        judges = self._cfg.discovers and now_s - led_since_s >= gone_s
+        members = next_members(
+            raft.members,
+            self.newcomers.values(),
+            raft.match_index,
+            raft.log.last_index,
+            lambda node: raft.heard_within(node, self._cfg.raft.election_max_s),
+            lambda node: judges and not raft.heard_within(node, gone_s),
+            len(self._cfg.founders),
+        )
+        if members is None:
+            return
+        # One that is taken out must not count as a newcomer any more.
+        out = set(raft.members) - set(members)
+        self.newcomers = {i: n for i, n in self.newcomers.items() if n not in out}
+        raft.propose_members(members)
+
+    def _is_forsaken(self, now_s):
+        """Return True for a member that has not heard a leader for long."""
+        patience_s = 2 * self._cfg.raft.election_max_s
+        return self._cfg.discovers and self._raft.silence_s(now_s) >= patience_s
+
     def _hear_any(self, sender, msg):
         """Let a newcomer join, or learn as one whom else to ask."""
-        if not self._raft.members:
-            self._contacts.update(instance_of(node) for node, _ in msg.members)
-            return []
         if not msg.fresh:
+            self._contacts.update(instance_of(node) for node, _ in msg.members)
+        if not msg.fresh or not self._raft.members:
             return []
         self.newcomers[instance_of(sender)] = sender
         return [(sender, Hello(False, tuple(sorted(self._raft.members.items()))))]
--- a/packages/snipebay-control/src/snipebay_control/membership.py
+++ b/packages/snipebay-control/src/snipebay_control/membership.py
@@ -10,7 +10,9 @@
     return node.partition("#")[0]
 
 
-def next_members(members, joining, match_index, last_index, is_heard):
+def next_members(
+    members, joining, match_index, last_index, is_heard, is_gone, voters_least
+):
     """Return the member table after the next single change, or None.
 
     An instance that lost its disk joins under a new incarnation: it first
@@ -23,6 +25,9 @@
         match_index: Function from node to the last index stored there.
         last_index: Last index of the leader's log.
         is_heard: Function from node to whether it answered lately.
+        is_gone: Function from node to whether it has been silent for so long
+            that it counts as lost. One that returns joins again.
+        voters_least: Number of voters below which none is given up as lost.
     """
     for node in sorted(joining):
         if node not in members:
@@ -40,5 +45,13 @@
             and not is_heard(other)
         ]
         if voter and is_heard(node) and replaced:
-            return {n: v for n, v in members.items() if n != replaced[0]}
+            return _without(members, replaced[0])
+    spare = sum(members.values()) - voters_least
+    for node, voter in sorted(members.items()):
+        if is_gone(node) and (spare > 0 or not voter):
+            return _without(members, node)
     return None
+
+
+def _without(members, node):
+    return {n: voter for n, voter in members.items() if n != node}
--- a/packages/snipebay-control/src/snipebay_control/raft.py
+++ b/packages/snipebay-control/src/snipebay_control/raft.py
@@ -175,6 +175,10 @@
         progress = self._progress.get(node)
         return progress is not None and self._now_s - progress.acked_s <= seconds
 
+    def silence_s(self, now_s):
+        """Return how long no leader has been heard, 0 for a leader."""
+        return 0.0 if self.is_leader else now_s - self._heard_s
+
     # --- inputs -----------------------------------------------------------
 
     def bootstrap(self, members):
--- a/packages/snipebay-control/tests/test_discovery.py
+++ b/packages/snipebay-control/tests/test_discovery.py
@@ -93,6 +93,74 @@
                 self.assertEqual(rig.leader.core.state.plan.version, 3)
 
 
+class TestGoneMembers(DiscoveryCase):
+    def test_silent_voter_is_taken_out_and_joins_again(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed, loss=0.02)
+                self.assert_all_vote(rig, 5)
+                rig.hosts["c5"].kill()
+                rig.call(change(1, 0))
+                rig.scheduler.run_for(2 * rig.cfg.gone_s)
+                self.assert_all_vote(rig, 4)
+                rig.hosts["c5"].start()
+                self.assert_all_vote(rig, 5)
+                self.assertEqual(rig.hosts["c5"].core.state.plan.version, 1)
+
+    def test_voter_that_is_cut_off_joins_again(self):
+        rig = self.rig(1)
+        self.assert_all_vote(rig, 5)
+        away = next(h for h in rig.hosts.values() if h is not rig.leader)
+        rig.network.cut_off(away.id, rig.hosts)
+        rig.scheduler.run_for(2 * rig.cfg.gone_s)
+        self.assert_all_vote(rig, 4)
+        rig.network.heal()
+        self.assert_all_vote(rig, 5)
+
+    def test_short_outage_changes_no_member(self):
+        rig = self.rig(2)
+        self.assert_all_vote(rig, 5)
+        rig.hosts["c4"].kill()
+        rig.scheduler.run_for(0.6 * rig.cfg.gone_s)
+        self.assertEqual(sum(rig.elect().core.raft.members.values()), 5)
+
+    def test_never_fewer_voters_than_founders(self):
+        rig = self.rig(3)
+        self.assert_all_vote(rig, 5)
+        for gone in ("c5", "c4", "c3"):
+            rig.hosts[gone].kill()
+            rig.scheduler.run_for(2 * rig.cfg.gone_s)
+        self.assertEqual(sum(rig.elect().core.raft.members.values()), 3)
+
+    def test_replaced_machines_leave_a_majority_of_those_that_live(self):
+        rig = self.rig(4, 7, absent=("c6", "c7"))
+        self.assert_all_vote(rig, 5)
+        for gone, fresh in (("c4", "c6"), ("c5", "c7")):
+            rig.hosts[gone].kill()
+            rig.hosts[fresh].start()
+            rig.scheduler.run_for(2 * rig.cfg.gone_s)
+        self.assert_all_vote(rig, 5)
+        rig.hosts["c1"].kill()
+        rig.hosts["c2"].kill()
+        self.assertEqual(rig.call(change(1, 0)).code, "ok")
+
+    def test_those_that_voted_out_each_other_agree_after_a_restart(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed, loss=0.02)
+                self.assert_all_vote(rig, 5)
+                for host in (rig.hosts["c4"], rig.hosts["c5"]):
+                    host.kill()
+                rig.scheduler.run_for(3 * rig.cfg.gone_s)
+                rig.call(change(1, 0))
+                for host in rig.hosts.values():
+                    if host.runs:
+                        host.kill()
+                    host.start()
+                self.assert_all_vote(rig, 5)
+                self.assertEqual(rig.leader.core.state.plan.version, 1)
+
+
 class TestPlans(DiscoveryCase):
     def test_resend_is_answered_alike_by_any_leader(self):
         rig = self.rig(1)
