Metrics of attempts, slots, health, view, log; lines on each change of belief, folded

Cause: an on-call engineer saw requests by status only, and nothing on why a process believed what it did. Change: requests by service, kind, outcome and reason; waiting time, attempts, retries and their budget, slots and backend servers by state, shares by region, age of the view, sync and commit times, members, calls by address and status, log lines dropped. States are read when somebody asks, not on the way of a request. A line for each backend server that joins, leaves, is ejected or sound again, for plans, evacuations, entry instances, leases, members, moved shares and refused calls; repeats within a second become one line with a count. Refusals name the service, the region and the slots that were in view.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -27,6 +27,7 @@
 from snipebay_control.raft import Raft, RaftTiming
 from snipebay_control.sessions import LeaseTiming, Sessions
 from snipebay_control.state import ControlState
+from snipebay_control.telemetry import Telemetry
 
 __all__ = ["RAFT_MESSAGES", "ControlConfig", "ControlCore"]
 
@@ -97,6 +98,7 @@
         self._led_base_ms = 0
         self._led_term = 0
         self._outbox = []
+        self.telemetry = Telemetry()
         self._waiting = {}
         self._pending = set()
         self.joining = Joining(cfg, self.raft)
@@ -229,12 +231,18 @@
 
     def _expire(self):
         """Remove instances and backend servers whose leases are over."""
-        for row in self.sessions.lapsed_entries(self.state, self._now_s):
-            self._propose_once(
-                RemoveEntry(row.entry_id, row.incarnation, "lease ran out")
-            )
-        for row in self.sessions.lapsed_backends(self.state, self._now_s):
-            self._propose_once(RemoveBackend(row.backend_id, "lease ran out"))
+        why = "lease ran out"
+        found = [
+            (row.entry_id, RemoveEntry(row.entry_id, row.incarnation, why))
+            for row in self.sessions.lapsed_entries(self.state, self._now_s)
+        ]
+        found += [
+            (row.backend_id, RemoveBackend(row.backend_id, why))
+            for row in self.sessions.lapsed_backends(self.state, self._now_s)
+        ]
+        for name, cmd in found:
+            if self._propose_once(cmd):
+                self.telemetry.changes.append((why, name))
 
     def _move_clock(self):
         if self._now_s < self._next_reap_s:
@@ -316,7 +324,8 @@
         outcome = self._refusal(msg)
         if outcome is None:
             index = self._propose_encoded(msg.kind, msg.data)
-            self._waiting[index] = (self.raft.term, sender, msg.request_id)
+            waits = (self.raft.term, sender, msg.request_id, self._now_s)
+            self._waiting[index] = waits
             return
         reply = CommandReply(msg.request_id, outcome, self.leader_id)
         self._outbox.append((sender, reply))
@@ -341,11 +350,13 @@
         return self.raft.propose(msgspec.msgpack.encode((kind, data)))
 
     def _propose_once(self, cmd):
-        """Propose a command unless the same one is on its way."""
+        """Propose a command unless the same one is on its way; return if it was."""
         kind, data = encode_body(cmd)
-        if (kind, data) not in self._pending:
-            self._pending.add((kind, data))
-            self._propose_encoded(kind, data)
+        if (kind, data) in self._pending:
+            return False
+        self._pending.add((kind, data))
+        self._propose_encoded(kind, data)
+        return True
 
     # --- applying ---------------------------------------------------------
 
@@ -358,8 +369,10 @@
             self._pending.discard((kind, data))
             if kind == "PutBackend" and self.raft.is_leader:
                 self._grant_backend(decode_body(kind, data).row)
-        term, sender, request_id = self._waiting.pop(entry.index, (0, "", 0))
+        none = (0, "", 0, 0.0)
+        term, sender, request_id, since_s = self._waiting.pop(entry.index, none)
         if sender and term == entry.term:
+            self.telemetry.commit_times.append(self._now_s - since_s)
             reply = CommandReply(request_id, outcome, self.leader_id)
             self._outbox.append((sender, reply))
 
--- a/packages/snipebay-model/src/snipebay_model/plan.py
+++ b/packages/snipebay-model/src/snipebay_model/plan.py
@@ -44,6 +44,11 @@
     session_affinity: bool = False
     allowed_regions: tuple[str, ...] = ()
 
+    @property
+    def kind(self):
+        """``idempotent`` or ``unsafe``, for logs and metrics."""
+        return "idempotent" if self.idempotent else "unsafe"
+
 
 @attrs.frozen
 class RoutedService:
--- a/packages/snipebay-node/src/snipebay_node/action_loop.py
+++ b/packages/snipebay-node/src/snipebay_node/action_loop.py
@@ -8,8 +8,8 @@
 class ActionLoop:
     """Base of a node: its messages, its control core, and messages to itself.
 
-    A subclass has the attributes ``control``, ``storage`` and ``metrics``, and
-    the methods below that raise ``NotImplementedError``.
+    A subclass has the attributes ``control``, ``storage``, ``metrics``, ``changes``
+    and ``clock``, and the methods below that raise ``NotImplementedError``.
     """
 
     def __init__(self):
@@ -66,6 +66,7 @@
         worked = False
         while not (ready := self.control.take_ready()).is_empty:
             worked = True
+            begun_s = self.clock()
             try:
                 self.storage.save(ready)
             except StorageError as exc:
@@ -73,8 +74,13 @@
                 self._end_control(exc)
                 return False
             if ready.needs_sync:
-                self.metrics.syncs.inc()
+                self.metrics.syncs.observe(self.clock() - begun_s)
             self.control.finish(ready)
+        commit_times, changes = self.control.telemetry.take()
+        for elapsed_s in commit_times:
+            self.metrics.commits.observe(elapsed_s)
+        for event, subject in changes:
+            self.changes.note(self.clock(), event, subject)
         for target, body in self.control.take_messages():
             worked = True
             self.send(target, body)
--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -52,6 +52,7 @@
         on_gone: Function called when the caller leaves before the answer ends.
         is_whole: True once the whole request has arrived.
         is_handled: True once the application has it.
+        detail: What was wrong with it, empty when nothing was.
     """
 
     def __init__(self, connection, parser, request_id, event):
@@ -70,6 +71,7 @@
         self.is_started = False
         self.is_done = False
         self.span = None
+        self.detail = ""
 
     @property
     def path(self):
@@ -116,6 +118,7 @@
             headers.append(("Retry-After", str(retry_after_s)))
         headers.append(("Snipebay-Outcome", outcome))
         body = problem_body(status, outcome, detail, **extra)
+        self.detail = detail
         self.respond(status, body, PROBLEM_TYPE, headers)
 
     def start(self, status, headers):
@@ -123,6 +126,9 @@
         if self.is_done or self.is_started:
             return
         self.is_started = True
+        on_answer = self.connection.server.on_answer
+        if on_answer is not None:
+            on_answer(self, status, self.detail)
         self.connection.send(
             self, h11.Response(status_code=status, headers=list(headers), reason=b"")
         )
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -41,6 +41,16 @@
     arrived_s: float
     relayed: int = 0
     decision: dict = attrs.Factory(dict)
+    service: str = ""
+    kind: str = ""
+
+
+@attrs.frozen
+class _Sent:
+    """The request that an attempt is for."""
+
+    request_id: int
+    service: str
 
 
 class Forwarder:
@@ -63,9 +73,9 @@
         self.dialect = dialect or Dialect()
         self.pool = UpstreamPool(hub, clock, self, self.dialect)
         self._running = {}
-        self._request_of = {}
+        self._sent = {}
         self._answers = {}
-        self._log = RequestLog(log)
+        self._log = RequestLog(log, metrics.lines_held.inc)
         self._handlers = {
             Dispatch: self._dispatch,
             Cancel: self._cancel,
@@ -121,7 +131,7 @@
     def _caller_gone(self, key):
         running = self._running.pop(key, None)
         if running is not None:
-            self._note(running, "caller gone")
+            self._note(running, "caller gone", reason="caller_gone")
             self.core.forward.caller_gone(key, self.clock())
             self.run_actions()
 
@@ -133,8 +143,12 @@
             self.core.forward.not_run(action.attempt_id, "caller left", self.clock())
             return
         exchange = running.exchange
-        self._request_of[action.attempt_id] = action.request_id
-        running.decision = action.reason
+        decision = running.decision = action.reason
+        running.service, running.kind = decision["service"], decision["kind"]
+        self._sent[action.attempt_id] = _Sent(action.request_id, running.service)
+        self.metrics.attempt_begun(
+            running.service, decision["attempt"], decision["waited_s"]
+        )
         left_ms = max(1, int((action.deadline_s - self.clock()) * 1_000))
         self.pool.start(
             UpstreamRequest(
@@ -166,7 +180,7 @@
 
     def _cancel(self, action):
         self.pool.cancel(action.attempt_id)
-        self._forget_attempt(action.attempt_id)
+        self._forget_attempt(action.attempt_id, "cancelled")
 
     def _relay(self, action):
         running = self._running.get(action.request_id)
@@ -182,6 +196,9 @@
         running = self._running.pop(action.request_id, None)
         if running is None:
             return
+        running.service = action.service or running.service
+        running.kind = action.kind or running.kind
+        running.decision = {**action.inputs, **running.decision}
         exchange = running.exchange
         if exchange.is_started:
             exchange.cut()
@@ -189,7 +206,7 @@
             exchange.problem(
                 action.status, action.outcome, action.detail, action.retry_after_s
             )
-        self._note(running, action.detail, status=action.status)
+        self._note(running, action.detail, status=action.status, reason=action.reason)
 
     # --- from backend servers ---------------------------------------------
 
@@ -204,7 +221,8 @@
         answer = self._answers.get(attempt_id)
         if answer is None:
             return
-        running = self._running.get(self._request_of.get(attempt_id))
+        sent = self._sent.get(attempt_id)
+        running = self._running.get(sent.request_id) if sent else None
         if running is not None and running.relayed == attempt_id:
             running.exchange.write(data)
             if running.exchange.stream.is_congested:
@@ -219,19 +237,19 @@
         if answer is None:
             return
         self._tell(attempt_id, answer)
-        request_id = self._forget_attempt(attempt_id)
+        request_id = self._forget_attempt(attempt_id, "answered")
         running = self._running.get(request_id)
         if running is not None and running.relayed == attempt_id:
             del self._running[request_id]
             running.exchange.finish()
-            self._note(running, "answered", status=status)
+            self._note(running, "answered", status=status, reason="answered")
         self.core.forward.finished(attempt_id, self.clock())
         self.run_actions()
 
     def on_not_run(self, attempt_id, status, headers):
         self._note_load(attempt_id, headers)
         reason = f"the backend server refused it with {status}"
-        self._note_attempt(self._forget_attempt(attempt_id), reason)
+        self._note_attempt(self._forget_attempt(attempt_id, "not_run"), reason)
         self.core.forward.not_run(
             attempt_id,
             reason,
@@ -241,13 +259,13 @@
         self.run_actions()
 
     def on_failure(self, attempt_id, reason):
-        request_id = self._forget_attempt(attempt_id)
+        request_id = self._forget_attempt(attempt_id, "failed")
         self._note_attempt(request_id, reason)
         running = self._running.get(request_id)
         if running is not None and running.relayed == attempt_id:
             del self._running[request_id]
             running.exchange.cut()
-            self._note(running, reason, status=0)
+            self._note(running, reason, reason="connection")
         self.core.forward.failed(attempt_id, reason, self.clock())
         self.run_actions()
 
@@ -272,10 +290,14 @@
         if running is not None and running.relayed:
             self.pool.pause(running.relayed, False)
 
-    def _forget_attempt(self, attempt_id):
-        """Forget an attempt and return its request."""
+    def _forget_attempt(self, attempt_id, outcome):
+        """Forget an attempt, count how it ended, and return its request."""
         self._answers.pop(attempt_id, None)
-        return self._request_of.pop(attempt_id, None)
+        sent = self._sent.pop(attempt_id, None)
+        if sent is None:
+            return None
+        self.metrics.attempt_ended(sent.service, outcome)
+        return sent.request_id
 
     def _note_attempt(self, request_id, reason):
         """Log why an attempt failed."""
@@ -290,14 +312,15 @@
                 **running.decision,
             )
 
-    def _note(self, running, outcome, status=0):
+    def _note(self, running, outcome, *, reason, status=0):
         """Count how a request ended, and log what was decided on it."""
         now_s = self.clock()
         elapsed_s = now_s - running.arrived_s
         decision = running.decision
         label = str(status) if status else "cut"
-        self.metrics.requests.labels("routed", label).inc()
-        self.metrics.latency.labels("routed").observe(elapsed_s)
+        self.metrics.request_ended(
+            running.service, running.kind, label, reason, elapsed_s
+        )
         is_late = elapsed_s > decision.get("target_s", elapsed_s)
         is_repeated = decision.get("attempt", 1) > 1
         self._log.note(
@@ -307,5 +330,5 @@
             outcome=outcome,
             status=status,
             elapsed_s=round(elapsed_s, 3),
-            **decision,
+            **{"service": running.service, "kind": running.kind, **decision},
         )
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -31,12 +31,15 @@
             at once, and ``handle(exchange)``.
         clock: Function returning the time in seconds.
         limits: Function returning the :class:`RequestLimits` in force.
+        on_answer: Function of an exchange, its status and the detail of a problem,
+            called when an answer begins.
     """
 
-    def __init__(self, app, clock, limits=lambda: DEFAULT_LIMITS):
+    def __init__(self, app, clock, limits=lambda: DEFAULT_LIMITS, on_answer=None):
         self.app = app
         self.clock = clock
         self.limits = limits
+        self.on_answer = on_answer
         self.connections = set()
         self.is_stopping = False
         self._ids = itertools.count(1)
--- a/packages/snipebay-node/src/snipebay_node/log_sink.py
+++ b/packages/snipebay-node/src/snipebay_node/log_sink.py
@@ -21,6 +21,9 @@
     Args:
         fd: File descriptor to write to, which becomes non-blocking.
         limit_bytes: Bytes that may wait.
+
+    Attributes:
+        on_dropped: Function called with the number of lines dropped.
     """
 
     def __init__(self, fd, limit_bytes=BUFFER_BYTES):
@@ -29,6 +32,7 @@
         self._buffer = bytearray()
         self._line = []
         self.dropped = 0
+        self.on_dropped = _ignore
         os.set_blocking(fd, False)
 
     def write(self, text):
@@ -41,7 +45,7 @@
         if len(self._buffer) + len(line) > self._limit_bytes:
             self.flush()
         if len(self._buffer) + len(line) > self._limit_bytes:
-            self.dropped += 1
+            self._drop(1)
             return
         self._buffer += line
 
@@ -54,7 +58,7 @@
                 return
             except OSError:
                 # Nobody reads any more; what happens must go on regardless.
-                self.dropped += self._buffer.count(b"\n")
+                self._drop(self._buffer.count(b"\n"))
                 self._buffer.clear()
                 return
             del self._buffer[:done]
@@ -63,6 +67,10 @@
             note = {"event": "log lines dropped", "count": count, "level": "warning"}
             self._buffer += json.dumps(note).encode() + b"\n"
 
+    def _drop(self, count):
+        self.dropped += count
+        self.on_dropped(count)
+
 
 class RequestLog:
     """Decides which requests have a line in the log.
@@ -72,10 +80,12 @@
 
     Args:
         log: Logger.
+        on_held_back: Function called for each line over the rate.
     """
 
-    def __init__(self, log):
+    def __init__(self, log, on_held_back=None):
         self._log = log
+        self._on_held_back = on_held_back or _ignore
         self._credit = LINES_AT_ONCE
         self._at_s = 0.0
         self._held_back = 0
@@ -89,6 +99,7 @@
         self._at_s = now_s
         if self._credit < 1:
             self._held_back += 1
+            self._on_held_back()
             return
         self._credit -= 1
         if self._held_back:
@@ -97,6 +108,10 @@
         self._log.info(event, request=request, **fields)
 
 
+def _ignore(*_):
+    """Do nothing."""
+
+
 def is_sampled(request):
     """Return True for one in ``SAMPLE_ONE_IN`` request ids, by their text alone."""
     return zlib.crc32(request.encode()) % SAMPLE_ONE_IN == 0
--- a/packages/snipebay-node/src/snipebay_node/metrics.py
+++ b/packages/snipebay-node/src/snipebay_node/metrics.py
@@ -4,46 +4,88 @@
 
 __all__ = ["NodeMetrics"]
 
+# Upper ends in seconds. Syncs take milliseconds, requests up to a minute.
+FAST_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+SLOW_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1, 1.5, 2, 3, 5, 10, 30, 60)
+
 
 class NodeMetrics:
-    """Counters and histograms of one process."""
+    """Counters and histograms of one process.
+
+    Labels come from fixed sets, or from the services that operators set, so
+    callers can't make new series.
+    """
+
+    content_type = prometheus_client.CONTENT_TYPE_LATEST
 
     def __init__(self):
         self.registry = prometheus_client.CollectorRegistry()
-        make = {"registry": self.registry}
-        self._sent = prometheus_client.Counter(
-            "snipebay_messages_sent", "Messages sent to instances.", ["kind"], **make
+        make = self._make
+        counter, gauge = prometheus_client.Counter, prometheus_client.Gauge
+        self._sent = make(counter, "messages_sent", "Messages to instances.", "kind")
+        self._sent_bytes = make(
+            counter, "message_sent_bytes", "Bytes sent to instances.", "kind"
         )
-        self._sent_bytes = prometheus_client.Counter(
-            "snipebay_message_sent_bytes", "Bytes sent to instances.", ["kind"], **make
+        self._lost = make(counter, "messages_dropped", "Messages not taken.", "kind")
+        self._bad = make(counter, "messages_bad", "Messages that could not be read.")
+        self._requests = make(
+            counter,
+            "requests",
+            "Requests that ended.",
+            "service",
+            "kind",
+            "outcome",
+            "reason",
         )
-        self._lost = prometheus_client.Counter(
-            "snipebay_messages_dropped", "Messages not taken.", ["kind"], **make
+        self._latency = make(
+            prometheus_client.Histogram,
+            "request_seconds",
+            "Time to the whole answer.",
+            "service",
+            "kind",
+            buckets=SLOW_BUCKETS,
         )
-        self._bad = prometheus_client.Counter(
-            "snipebay_messages_bad", "Messages that could not be read.", **make
+        self._waited = make(
+            prometheus_client.Histogram,
+            "wait_seconds",
+            "Time from arrival to the first attempt.",
+            "service",
+            buckets=FAST_BUCKETS,
         )
-        self.requests = prometheus_client.Counter(
-            "snipebay_requests", "Requests by outcome.", ["service", "outcome"], **make
+        self._attempts = make(
+            counter, "attempts", "Attempts that ended.", "service", "outcome"
         )
-        self.latency = prometheus_client.Histogram(
-            "snipebay_request_seconds", "Time to the whole answer.", ["service"], **make
+        self._retries = make(
+            counter, "retries", "Attempts after a first one.", "service"
         )
-        self.lookups = prometheus_client.Counter(
-            "snipebay_lookups", "Client addresses looked up.", **make
+        self._calls = make(
+            counter, "calls", "Calls of operators and others.", "api", "status"
         )
-        self.revision = prometheus_client.Gauge(
-            "snipebay_view_revision", "View revision in force here.", **make
+        self.lookups = make(counter, "lookups", "Client addresses looked up.")
+        self.revision = make(gauge, "view_revision", "View revision in force here.")
+        self.leader = make(gauge, "is_leader", "1 while this control instance leads.")
+        self.leader_changes = make(
+            counter, "leader_changes", "Changes of the leader seen here."
         )
-        self.leader = prometheus_client.Gauge(
-            "snipebay_is_leader", "1 while this control instance leads.", **make
+        self.syncs = make(
+            prometheus_client.Histogram,
+            "log_sync_seconds",
+            "Time of a sync of the replicated log.",
+            buckets=FAST_BUCKETS,
         )
-        self.syncs = prometheus_client.Counter(
-            "snipebay_log_syncs", "Syncs of the replicated log.", **make
+        self.commits = make(
+            prometheus_client.Histogram,
+            "log_commit_seconds",
+            "Time from a command's arrival at the leader to its commit.",
+            buckets=FAST_BUCKETS,
         )
-        self._decisions = prometheus_client.Gauge(
-            "snipebay_decisions", "Decisions since the start.", ["kind"], **make
+        self.lines_dropped = make(
+            counter, "log_lines_dropped", "Log lines that nobody took in time."
         )
+        self.lines_held = make(
+            counter, "log_lines_held_back", "Lines on requests over the rate."
+        )
+        self._decisions = make(gauge, "decisions", "Decisions since the start.", "kind")
 
     def sent(self, kind, size):
         self._sent.labels(kind).inc()
@@ -55,13 +97,43 @@
     def bad(self):
         self._bad.inc()
 
+    def request_ended(self, service, kind, outcome, reason, elapsed_s):
+        """Count a request.
+
+        Args:
+            service: Its service, empty when it was refused before one was known.
+            kind: Kind of its route.
+            outcome: Status, or how else it ended.
+            reason: Why, one word of a fixed set.
+            elapsed_s: Time since it arrived.
+        """
+        self._requests.labels(service, kind, outcome, reason).inc()
+        self._latency.labels(service, kind).observe(elapsed_s)
+
+    def attempt_begun(self, service, number, waited_s):
+        """Count an attempt; the first one tells how long the request waited."""
+        if number > 1:
+            self._retries.labels(service).inc()
+        else:
+            self._waited.labels(service).observe(waited_s)
+
+    def attempt_ended(self, service, outcome):
+        """Count how an attempt ended."""
+        self._attempts.labels(service, outcome).inc()
+
+    def call_answered(self, api, status):
+        """Count a call that is no request on a route."""
+        self._calls.labels(api, str(status)).inc()
+
     def set_decisions(self, counts):
         """Show the counts that the decisions keep."""
         for kind, count in counts.items():
             self._decisions.labels(kind).set(count)
 
-    content_type = prometheus_client.CONTENT_TYPE_LATEST
-
     def text(self):
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
+
+    def _make(self, kind, name, doc, *labels, **values):
+        name = f"snipebay_{name}"
+        return kind(name, doc, labels, registry=self.registry, **values)
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -19,6 +19,7 @@
 from snipebay_node.action_loop import ActionLoop
 from snipebay_node.api import Api
 from snipebay_node.bus import Bus
+from snipebay_node.change_log import ChangeLog
 from snipebay_node.http_server import HttpServer
 from snipebay_node.logs import Tracing
 from snipebay_node.metrics import NodeMetrics
@@ -62,6 +63,7 @@
         self.settings = settings
         self.clock = time.monotonic
         self.metrics = NodeMetrics()
+        self.changes = ChangeLog(log)
         self.storage = None
         self.control = None
         self._controls = {peer.id: peer.internal for peer in settings.peers}
@@ -218,6 +220,7 @@
             self.metrics.revision.set(self.entry.ctx.view.revision)
             self.metrics.set_decisions(self.entry.ctx.counts)
         self.run_actions()
+        self.changes.tick(now_s)
         if now_s >= self._next_forget_s:
             self._next_forget_s = now_s + FORGET_S
             self._forget_gone()
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -273,8 +273,7 @@
         if service not in self.core.ctx.settings.services:
             # Any text may stand in a path, and each label is kept for ever.
             service = "unknown"
-        self.metrics.requests.labels(service, outcome).inc()
-        self.metrics.latency.labels(service).observe(elapsed_s)
+        self.metrics.request_ended(service, "", outcome, "", elapsed_s)
         end_span(running.exchange.span, outcome=outcome)
 
 
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -18,11 +18,13 @@
 from snipebay_policy.work import Send
 
 from snipebay_node.action_loop import ActionLoop
+from snipebay_node.change_log import ChangeLog
 from snipebay_node.dialect import Dialect
 from snipebay_node.forwarder import Forwarder
 from snipebay_node.frames import FrameBus
 from snipebay_node.http_server import HttpServer
 from snipebay_node.metrics import NodeMetrics
+from snipebay_node.state_collector import StateCollector
 from snipebay_node.steering import Steering
 from snipebay_node.storage import FOUNDER, Storage, StorageError
 from snipebay_node.streams import StreamHub
@@ -41,6 +43,8 @@
 # Time after the begin of a stop from which requests are refused: callers have
 # asked for other instances by then, and what was taken before can still end.
 STOP_ADMIT_S = 2.5
+# Least status of an answer that tells of a failure.
+HTTP_ERRORS = 400
 SIGNED_MESSAGES = (*RAFT_MESSAGES, messages.Hello)
 CONTROL_MESSAGES = (
     *SIGNED_MESSAGES,
@@ -104,6 +108,7 @@
         self.settings = settings
         self.clock = time.monotonic
         self.metrics = NodeMetrics()
+        self.changes = ChangeLog(log)
         self.poller = EPoll().register(self)
         self.hub = StreamHub(self.poller).register(self)
         self.servers = []
@@ -117,6 +122,7 @@
         self._stopping_since_s = None
         self._storage_retry_s = 0.0
         self._leader = ""
+        self._members = {}
         self.bus = FrameBus(
             self.hub, settings.internal, self._on_message, self.metrics, self.clock
         )
@@ -124,6 +130,9 @@
             self._start_control()
         if settings.callers:
             self._start_entry()
+        self.metrics.registry.register(
+            StateCollector(self.clock, lambda: self.entry, lambda: self.control)
+        )
         Ticker(TICK_S, self._on_tick, self.clock).register(self)
 
     # --- state ------------------------------------------------------------
@@ -136,12 +145,29 @@
         """Return True while callers may be sent here."""
         return not self.is_stopping and self.entry is not None and self.entry.is_ready
 
-    def serve(self, address, app, limits=None):
-        """Serve an application over HTTP at an address."""
-        server = HttpServer(app, self.clock, *([limits] if limits else []))
+    def serve(self, address, app, name):
+        """Serve an application over HTTP at an address, under a name for metrics."""
+
+        def note(exchange, status, detail):
+            self.metrics.call_answered(name, status)
+            if status >= HTTP_ERRORS:
+                event = f"{name} call refused"
+                subject = f"{exchange.method} {exchange.path}"
+                self.changes.note(
+                    self.clock(), event, subject, status=status, detail=detail
+                )
+
+        self._listen(address, HttpServer(app, self.clock, on_answer=note))
+
+    def _listen(self, address, server):
         self.servers.append(server)
         self.hub.listen(address, server.accept)
 
+    def lookup(self, domain, region):
+        """Return the addresses of entry instances for a caller, nearest first."""
+        self.metrics.lookups.inc()
+        return self.entry.lookup(domain, region)
+
     def reload(self, settings):
         """Take in changed seeds, the only setting that moves in a running process."""
         if settings.seeds != self.settings.seeds:
@@ -221,6 +247,7 @@
         self.hub.tick(now_s)
         self.bus.tick(now_s)
         self.run_actions()
+        self._log_changes(now_s)
         if self.is_stopping:
             self._go_on_stopping(now_s)
 
@@ -231,7 +258,19 @@
         self.metrics.leader.set(self.control.raft.is_leader)
         if leader != self._leader:
             log.info("leader changed", leader=leader, term=self.control.raft.term)
+            self.metrics.leader_changes.inc()
             self._leader = leader
+        members = self.control.raft.members
+        if members != self._members:
+            log.info("members changed", members=dict(sorted(members.items())))
+            self._members = dict(members)
+
+    def _log_changes(self, now_s):
+        """Log what the cores have come to believe."""
+        if self.entry is not None:
+            for event, subject, fields in self.entry.take_notes():
+                self.changes.note(now_s, event, subject, **fields)
+        self.changes.tick(now_s)
 
     def _go_on_stopping(self, now_s):
         """Stop once all requests have ended, or the time for it is over."""
@@ -314,4 +353,5 @@
             self.run_actions,
             settings.dialect,
         )
-        self.serve(settings.callers, self.forwarder, lambda: self.entry.limits)
+        server = HttpServer(self.forwarder, self.clock, lambda: self.entry.limits)
+        self._listen(settings.callers, server)
--- /dev/null
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -0,0 +1,76 @@
+"""Metrics that are read from the state of the cores when somebody asks."""
+
+from prometheus_client.core import GaugeMetricFamily
+
+__all__ = ["StateCollector"]
+
+
+class StateCollector:
+    """Collector of gauges for a Prometheus registry.
+
+    Args:
+        clock: Function returning the time in seconds.
+        entry: Function returning the routed core, or None.
+        control: Function returning the control core, or None.
+    """
+
+    def __init__(self, clock, entry, control):
+        self._clock = clock
+        self._entry = entry
+        self._control = control
+
+    def describe(self):
+        """Return no descriptions, so that registering reads no state."""
+        return []
+
+    def collect(self):
+        """Yield the metrics."""
+        entry, control = self._entry(), self._control()
+        if entry is not None:
+            yield from self._of_entry(entry)
+        if control is not None:
+            yield from self._of_control(control)
+
+    def _of_entry(self, entry):
+        now_s = self._clock()
+        age_s = entry.view_age_s(now_s)
+        yield _gauge("view_age_seconds", "Time since control confirmed it.", age_s)
+        slots = _table("slots", "Slots of backend servers in view.", "state")
+        backends = _table("backends", "Backend servers in view.", "state")
+        budget = _table("retry_budget", "Retries that are allowed now.")
+        waiting = _table("waiting_requests", "Requests that wait for room.")
+        shares = _table("region_share", "Share of requests by region.", "region")
+        for service, counts in entry.fleet.summary(now_s).items():
+            for state, count in counts.slots.items():
+                slots.add_metric((service, state), count)
+            for state, count in counts.members.items():
+                backends.add_metric((service, state), count)
+            budget.add_metric((service,), entry.budget(service).credit)
+            waits = len(entry.forward.waiting.get(service, ()))
+            waiting.add_metric((service,), waits)
+            for region, share in entry.shares(service).shares.items():
+                shares.add_metric((service, region), share)
+        yield from (slots, backends, budget, waiting, shares)
+
+    def _of_control(self, control):
+        raft = control.raft
+        yield _gauge("term", "Term of the replicated log.", raft.term)
+        yield _gauge("log_commit_index", "Last committed entry.", raft.commit)
+        voters = len(raft.voters)
+        learners = len(raft.members) - voters
+        members = GaugeMetricFamily(
+            "snipebay_members", "Control instances by role.", labels=("role",)
+        )
+        members.add_metric(("voter",), voters)
+        members.add_metric(("learner",), learners)
+        yield members
+        rows = len(control.state.backends)
+        yield _gauge("known_backends", "Backend servers with a lease.", rows)
+
+
+def _gauge(name, doc, value):
+    return GaugeMetricFamily(f"snipebay_{name}", doc, value=value)
+
+
+def _table(name, doc, *labels):
+    return GaugeMetricFamily(f"snipebay_{name}", doc, labels=("service", *labels))
--- a/packages/snipebay-node/tests/test_http.py
+++ b/packages/snipebay-node/tests/test_http.py
@@ -95,6 +95,16 @@
 
 
 class TestServer(ServerCase):
+    def test_status_and_detail_of_answers_are_told(self):
+        told = []
+        self.server.on_answer = lambda exchange, status, detail: told.append(
+            (exchange.path, status, detail)
+        )
+        self.send(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.app.answer = lambda exchange: exchange.problem(503, "not-run", "full")
+        self.send(b"GET /b?c HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertEqual(told, [("/a", 200, ""), ("/b", 503, "full")])
+
     def test_pipelined_requests_are_answered_in_order(self):
         self.app.hold = True
         one = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
--- /dev/null
+++ b/packages/snipebay-node/tests/test_metrics.py
@@ -0,0 +1,193 @@
+"""Tests of what a process tells by its metrics and its lines on changes."""
+
+import unittest
+
+from prometheus_client.parser import text_string_to_metric_families
+from snipebay_model.plan import Plan
+from snipebay_model.view import BackendRow, EntryRow, View
+from snipebay_node.change_log import FOLD_S, NAMED_MOST, ChangeLog
+from snipebay_node.metrics import NodeMetrics
+from snipebay_node.state_collector import StateCollector
+from snipebay_policy.view_changes import view_changes
+from snipebay_testbed.control_rig import ControlRig
+from snipebay_testbed.forwarder_case import ANSWER, ForwarderCase
+
+
+def values(metrics):
+    """Return values by name and label values, ordered by label."""
+    return {
+        (sample.name, *(v for _, v in sorted(sample.labels.items()))): sample.value
+        for family in text_string_to_metric_families(metrics.text().decode())
+        for sample in family.samples
+    }
+
+
+class TestRequestMetrics(ForwarderCase):
+    def setUp(self):
+        super().setUp()
+        self.metrics = self.forwarder.metrics
+        self.metrics.registry.register(
+            StateCollector(lambda: self.now_s, lambda: self.core, lambda: None)
+        )
+
+    def test_answered_request(self):
+        self.ask()
+        self.backend().on_data(ANSWER)
+        found = values(self.metrics)
+        ended = ("snipebay_requests_total", "idempotent", "200", "answered", "s")
+        self.assertEqual(found[ended], 1)
+        self.assertEqual(found["snipebay_attempts_total", "answered", "s"], 1)
+        self.assertEqual(found["snipebay_wait_seconds_count", "s"], 1)
+        self.assertNotIn(("snipebay_retries_total", "s"), found)
+
+    def test_unsafe_request_whose_connection_broke(self):
+        self.ask("/u/x", "POST")
+        self.backend().abort()
+        found = values(self.metrics)
+        ended = ("snipebay_requests_total", "unsafe", "502", "connection", "s")
+        self.assertEqual(found[ended], 1)
+        self.assertEqual(found["snipebay_attempts_total", "failed", "s"], 1)
+
+    def test_repeated_request_takes_from_the_budget(self):
+        self.ask()
+        before = values(self.metrics)["snipebay_retry_budget", "s"]
+        self.backend().abort()
+        self.backend().on_data(ANSWER)
+        found = values(self.metrics)
+        self.assertEqual(found["snipebay_retries_total", "s"], 1)
+        self.assertAlmostEqual(found["snipebay_retry_budget", "s"], before - 1)
+
+    def test_request_without_a_route(self):
+        self.ask("/nowhere")
+        found = values(self.metrics)
+        ended = ("snipebay_requests_total", "", "404", "no_route", "")
+        self.assertEqual(found[ended], 1)
+
+    def test_slots_and_backend_servers_by_state(self):
+        self.ask()
+        member = self.core.fleet.members["i1"]
+        for _ in range(self.core.fleet.timing.eject_failures):
+            self.core.fleet.fail(member, self.now_s)
+        self.now_s = 0.5
+        found = values(self.metrics)
+        self.assertEqual(found["snipebay_backends", "s", "sound"], 1)
+        self.assertEqual(found["snipebay_backends", "s", "ejected"], 1)
+        self.assertEqual(found["snipebay_slots", "s", "total"], 8)
+        self.assertEqual(found["snipebay_slots", "s", "ours"], 1)
+        self.assertEqual(found["snipebay_view_age_seconds",], 0.5)
+
+    def test_texts_of_callers_make_no_series(self):
+        before = len(values(self.metrics))
+        self.ask("/nowhere")
+        once = len(values(self.metrics))
+        for number in range(20):
+            self.ask(f"/nowhere/{number}", extra=f"Cookie: key={number}\r\n")
+        self.assertEqual(len(values(self.metrics)), once)
+        self.assertGreater(once, before)
+
+
+class TestControlMetrics(unittest.TestCase):
+    def test_members_term_and_commits(self):
+        rig = ControlRig(1)
+        leader = rig.elect().core
+        metrics = NodeMetrics()
+        metrics.registry.register(
+            StateCollector(lambda: 0.0, lambda: None, lambda: leader)
+        )
+        found = values(metrics)
+        self.assertEqual(found["snipebay_members", "voter"], 3)
+        self.assertEqual(found["snipebay_members", "learner"], 0)
+        self.assertGreaterEqual(found["snipebay_term",], 1)
+
+    def test_lapsed_backend_server_and_commit_time_are_told(self):
+        rig = ControlRig(2, 5, seeds=("c1", "c2", "c3"))
+        rig.scheduler.run_for(6.0)
+        leader = rig.elect().core
+        leader.telemetry.take()
+        leader.sessions.backend_until_s["gone"] = 0.0
+        leader.state.backends["gone"] = BackendRow(
+            "gone", "s", "10.0.0.1:80", "a", "a-1", 4
+        )
+        rig.scheduler.run_for(1.0)
+        _, changes = leader.telemetry.take()
+        self.assertEqual(changes, [("lease ran out", "gone")])
+
+
+class TestCallMetrics(unittest.TestCase):
+    def test_calls_are_counted_by_status(self):
+        metrics = NodeMetrics()
+        for status in (200, 200, 503):
+            metrics.call_answered("control", status)
+        found = values(metrics)
+        self.assertEqual(found["snipebay_calls_total", "control", "200"], 2)
+        self.assertEqual(found["snipebay_calls_total", "control", "503"], 1)
+
+
+class TestChangeLog(unittest.TestCase):
+    def setUp(self):
+        self.lines = []
+        self.changes = ChangeLog(self)
+
+    def info(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def test_first_change_is_written_at_once(self):
+        self.changes.note(1.0, "joined", "i1", revision=7)
+        self.assertEqual(self.lines, [("joined", {"subject": "i1", "revision": 7})])
+
+    def test_further_ones_are_folded_and_counted(self):
+        for number in range(1_000):
+            self.changes.note(1.0 + number * 0.0005, "joined", f"i{number}")
+        self.changes.tick(1.0 + FOLD_S)
+        self.assertEqual(len(self.lines), 2)
+        event, fields = self.lines[1]
+        self.assertEqual((event, fields["count"]), ("joined", 999))
+        self.assertEqual(len(fields["subjects"]), NAMED_MOST)
+
+    def test_kinds_are_folded_apart(self):
+        for event in ("joined", "gone"):
+            self.changes.note(1.0, event, "i1")
+        self.assertEqual([event for event, _ in self.lines], ["joined", "gone"])
+
+    def test_lines_stay_bounded_over_time(self):
+        for number in range(10_000):
+            now_s = number * 0.01
+            self.changes.note(now_s, "joined", "i1")
+            self.changes.tick(now_s)
+        self.assertLessEqual(len(self.lines), 2 * 100.0 / FOLD_S)
+
+
+class TestViewChanges(unittest.TestCase):
+    def test_each_kind(self):
+        def backend(name, **fields):
+            return BackendRow(name, "s", "10.0.0.1:80", "a", "a-1", 4, **fields)
+
+        entry = EntryRow("e1", "x", "10.0.0.2:80", "e1", "a", "a-1")
+        old = View(
+            1, backends=(backend("i1"), backend("i2")), evacuated=("a-2",), plan=Plan(1)
+        )
+        new = View(
+            2,
+            backends=(backend("i1", leaving=True), backend("i3")),
+            entries=(entry,),
+            evacuated=("a-1",),
+            plan=Plan(2),
+        )
+        found = [(event, subject) for event, subject, _ in view_changes(old, new)]
+        self.assertEqual(
+            found,
+            [
+                ("traffic plan in force", "2"),
+                ("failure domain evacuated", "a-1"),
+                ("failure domain back", "a-2"),
+                ("backend server leaving", "i1"),
+                ("backend server joined", "i3"),
+                ("backend server gone", "i2"),
+                ("entry instance joined", "e1"),
+            ],
+        )
+        self.assertEqual(view_changes(new, new), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/snipebay-policy/src/snipebay_policy/budget.py
+++ b/packages/snipebay-policy/src/snipebay_policy/budget.py
@@ -22,6 +22,11 @@
         default=attrs.Factory(lambda self: self.most / 2, takes_self=True)
     )
 
+    @property
+    def credit(self):
+        """Attempts that are allowed now."""
+        return self._credit
+
     def earn(self):
         """Count a first attempt."""
         self._credit = min(self.most, self._credit + self.ratio)
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -1,5 +1,6 @@
 """Backend servers as one entry instance sees them: load, health, cold starts."""
 
+import collections
 import math
 
 import attrs
@@ -92,6 +93,20 @@
         self.reported_s = now_s
 
 
+@attrs.frozen
+class FleetCounts:
+    """Numbers on the backend servers of one service.
+
+    Attributes:
+        members: Count by state: ``sound``, ``cold``, ``ejected`` or ``closed``.
+        slots: ``total`` of the open ones, requests of ``ours`` there, and the
+            requests of ``others`` that they are taken to have.
+    """
+
+    members: dict
+    slots: dict
+
+
 @attrs.frozen
 class Choice:
     """A member to send a request to, and its place for the request's object."""
@@ -155,6 +170,16 @@
             slots[region] = slots.get(region, 0) + member.row.slots
         return slots
 
+    def summary(self, now_s):
+        """Return :class:`FleetCounts` by service, for metrics."""
+        return {
+            service: FleetCounts(
+                collections.Counter(self._state(m, now_s) for m in members),
+                self._slots_by_state(members, now_s),
+            )
+            for service, members in self._by_service.items()
+        }
+
     def choose(
         self,
         service,
@@ -243,6 +268,19 @@
         ids = list(dict.fromkeys(m.row.backend_id for m in ranked))
         return dict(zip(ids, (HOME, SECOND), strict=False))
 
+    def _state(self, member, now_s):
+        if not self._is_open(member):
+            return "closed"
+        if now_s < member.ejected_until_s:
+            return "ejected"
+        return "cold" if now_s < member.cold_until_s else "sound"
+
+    def _slots_by_state(self, members, now_s):
+        total = sum(m.row.slots for m in members if self._is_open(m))
+        ours = sum(m.in_flight for m in members)
+        others = round(sum(m.load(now_s) for m in members) - ours, 1)
+        return {"total": total, "ours": ours, "others": others}
+
     def _is_open(self, member):
         row = member.row
         is_evacuated = row.domain in self._evacuated
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -41,15 +41,17 @@
         """
         table = self.ctx.table
         if self.is_closed:
-            self._refuse(request_id, 503, "this instance is about to stop")
+            self._refuse(request_id, "stopping", "this instance is about to stop")
             return
         if table is None:
-            self._refuse(request_id, 503, "no traffic plan is in force here yet")
+            detail = "no traffic plan is in force here yet"
+            self._refuse(request_id, "no_plan", detail)
             return
         route = table.find(host, path)
         if route is None:
             detail = f"no route for {host!r} and {path!r}"
-            self.ctx.act(Problem(request_id, 404, NOT_RUN, detail))
+            problem = Problem(request_id, 404, NOT_RUN, detail, reason="no_route")
+            self.ctx.act(problem)
             return
         service = table.next_service(route)
         span_s = (
@@ -103,13 +105,15 @@
             return
         fleet = self.ctx.fleet
         if status >= 500:
-            fleet.fail(row.attempt.member, now_s)
+            self._blame(row.attempt.member, now_s)
             if row.route.idempotent and self._may_repeat(row, now_s):
                 self.ctx.act(Cancel(attempt_id))
                 row.may_have_run = True
                 self._repeat(row, now_s)
                 return
         else:
+            if row.attempt.member.ejections:
+                self.ctx.note("backend server sound again", _id(row.attempt.member))
             fleet.succeed(row.attempt.member)
             self._note_time(row, now_s)
         row.relayed = True
@@ -148,20 +152,30 @@
             self._forget(row)
             return
         row.attempt.wrote = False
-        self._fail(row, now_s, reason)
+        self._fail(row, now_s, "rejected", reason)
 
     def failed(self, attempt_id, reason, now_s):
         """Take note of a connection that failed before the answer was whole."""
         row = self._by_attempt.get(attempt_id)
         if row is None or row.attempt is None:
             return
-        self.ctx.fleet.fail(row.attempt.member, now_s)
+        self._blame(row.attempt.member, now_s)
         if row.relayed:
             # The adapter has cut the caller's answer visibly.
             self._forget(row)
             self.pump(row.service, now_s)
             return
-        self._fail(row, now_s, reason)
+        self._fail(row, now_s, "connection", reason)
+
+    def _blame(self, member, now_s):
+        """Count a failure of a backend server, and tell when it is ejected."""
+        if self.ctx.fleet.fail(member, now_s):
+            self.ctx.note(
+                "backend server ejected",
+                _id(member),
+                failures=member.failures,
+                seconds=round(member.ejected_until_s - now_s, 1),
+            )
 
     def open_by_service(self):
         """Return the number of requests that run or wait, by service."""
@@ -183,7 +197,7 @@
             return
         for row in sorted(waiting.values(), key=_order):
             if not self._place(row, now_s) and now_s >= self._patience_end_s(row):
-                self._give_up(row, 503, "no backend server has room")
+                self._give_up(row, 503, "no_room", "no backend server has room")
 
     def _patience_end_s(self, row):
         wait_s = row.route.target_latency_s * self.rules.wait_share
@@ -250,6 +264,8 @@
         self.ctx.counts["dispatched"] += 1
         reason = {
             "route": row.route.name,
+            "kind": row.route.kind,
+            "service": row.service,
             "target_s": row.route.target_latency_s,
             "backend": member.row.backend_id,
             "domain": member.row.domain,
@@ -274,14 +290,14 @@
 
     # --- ending -----------------------------------------------------------
 
-    def _fail(self, row, now_s, reason):
+    def _fail(self, row, now_s, reason, detail):
         """Repeat a request where that is safe, else tell the caller."""
         wrote = row.attempt.wrote
         row.may_have_run |= wrote
         if (row.route.idempotent or not wrote) and self._may_repeat(row, now_s):
             self._repeat(row, now_s)
         else:
-            self._give_up(row, 503, reason)
+            self._give_up(row, 503, reason, detail)
         self.pump(row.service, now_s)
 
     def _may_repeat(self, row, now_s):
@@ -310,10 +326,10 @@
             self._forget(row)
         else:
             status = 504 if row.may_have_run else 503
-            self._give_up(row, status, "the deadline has passed")
+            self._give_up(row, status, "deadline", "the deadline has passed")
         self.pump(row.service, now_s)
 
-    def _give_up(self, row, status, detail):
+    def _give_up(self, row, status, reason, detail):
         """Tell the caller that its request failed; 503 only if it did not run."""
         if row.may_have_run and status == 503:
             status = 502
@@ -322,15 +338,38 @@
             retry_after_s = self.rules.retry_after_s if status == 503 else None
             self.ctx.counts[f"problem_{status}"] += 1
             self.ctx.act(
-                Problem(row.request_id, status, outcome, detail, retry_after_s)
+                Problem(
+                    row.request_id,
+                    status,
+                    outcome,
+                    detail,
+                    retry_after_s,
+                    reason,
+                    row.service,
+                    row.route.kind,
+                    self._inputs(row),
+                )
             )
         self._forget(row)
 
-    def _refuse(self, request_id, status, detail):
+    def _inputs(self, row):
+        """Return what decided on a request that was not sent, for the log."""
+        if row.attempts:
+            return {}
+        slots = self.ctx.fleet.capacity(row.service, row.arrived_s)
+        return {
+            "route": row.route.name,
+            "region_share": row.region,
+            "object": row.key,
+            "slots_by_region": slots,
+            "revision": self.ctx.view.revision,
+        }
+
+    def _refuse(self, request_id, reason, detail):
+        """Refuse a request for which no row was made."""
         self.ctx.counts["refused"] += 1
-        self.ctx.act(
-            Problem(request_id, status, NOT_RUN, detail, self.rules.retry_after_s)
-        )
+        after_s = self.rules.retry_after_s
+        self.ctx.act(Problem(request_id, 503, NOT_RUN, detail, after_s, reason))
 
     def _stop_waiting(self, row):
         self.waiting.get(row.service, {}).pop(row.request_id, None)
@@ -347,6 +386,10 @@
         self.rows.pop(row.request_id, None)
 
 
+def _id(member):
+    return member.row.backend_id
+
+
 def _order(row):
     """Return the place of a waiting request in the queue."""
     return row.route.priority, row.arrived_s, row.request_id
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -19,12 +19,15 @@
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_times import ServiceTimes
 from snipebay_policy.shares import ShareMeter
+from snipebay_policy.view_changes import view_changes
 from snipebay_policy.work import Send
 
 __all__ = ["RoutedConfig", "RoutedCore"]
 
 # Time constant of the averages by which instances report their needs.
 NEEDS_WINDOW_S = 2.0
+# Part of a service's requests whose move between regions is worth a log line.
+NOTED_SHIFT = 0.1
 DEFAULT_LIMITS = RequestLimits()
 
 
@@ -79,6 +82,8 @@
         self._budgets = {}
         self._needs = {}
         self._actions = []
+        self._notes = []
+        self._noted_shares = {}
         self._next_renew_s = 0.0
         self._next_shares_s = 0.0
         self._answered_s = 0.0
@@ -104,6 +109,19 @@
         """Put an action into the queue for the adapter."""
         self._actions.append(action)
 
+    def note(self, event, subject, **fields):
+        """Tell whoever runs us of a change in what we believe."""
+        self._notes.append((event, subject, fields))
+
+    def take_notes(self):
+        """Return triples of event, subject and fields since the last call."""
+        notes, self._notes = self._notes, []
+        return notes
+
+    def view_age_s(self, now_s):
+        """Return how long ago control last confirmed the view."""
+        return now_s - self._answered_s
+
     def take_actions(self):
         """Return the actions since the last call."""
         actions, self._actions = self._actions, []
@@ -268,6 +286,8 @@
             return
         if view.plan is not self.view.plan and view.plan is not None:
             self.table = RouteTable(view.plan, self.table)
+        for event, subject, fields in view_changes(self.view, view):
+            self.note(event, subject, **fields)
         self.view = view
         for budget in self._budgets.values():
             budget.most = self._retry_credit()
@@ -280,4 +300,18 @@
         services = self.table.services if self.table else ()
         for service in services:
             capacity = self.fleet.capacity(service, now_s)
-            self.shares(service).move(capacity, self._demand.get(service, {}), now_s)
+            shares = self.shares(service)
+            shares.move(capacity, self._demand.get(service, {}), now_s)
+            self._note_shares(service, shares.shares)
+
+    def _note_shares(self, service, shares):
+        """Tell when the shares by region have moved far since they were last told."""
+        old = self._noted_shares.get(service, {})
+        moved = max(
+            (abs(shares.get(r, 0.0) - old.get(r, 0.0)) for r in {*old, *shares}),
+            default=0.0,
+        )
+        if moved >= NOTED_SHIFT:
+            self._noted_shares[service] = dict(shares)
+            rounded = {r: round(share, 2) for r, share in sorted(shares.items())}
+            self.note("region shares moved", service, shares=rounded)
--- a/packages/snipebay-policy/src/snipebay_policy/work.py
+++ b/packages/snipebay-policy/src/snipebay_policy/work.py
@@ -146,6 +146,10 @@
         outcome: ``not-run`` or ``unknown``.
         detail: What a person should read.
         retry_after_s: When to come again, or None.
+        reason: One word for metrics, from a fixed set.
+        service: Service that it was for, empty when that is not known.
+        kind: Kind of its route, empty when that is not known.
+        inputs: What decided, for the log.
     """
 
     request_id: int
@@ -153,6 +157,10 @@
     outcome: str
     detail: str
     retry_after_s: int | None = None
+    reason: str = ""
+    service: str = ""
+    kind: str = ""
+    inputs: dict = attrs.Factory(dict)
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/snipebay-testbed/src/snipebay_testbed/forwarder_case.py
@@ -0,0 +1,71 @@
+"""A forwarder between a caller and backend servers, on fake streams."""
+
+import unittest
+
+from snipebay_model.messages import RenewReply
+from snipebay_model.plan import Plan, Route, RoutedService
+from snipebay_model.view import BackendRow, EntryRow, ViewDelta
+from snipebay_node.dialect import Dialect
+from snipebay_node.forwarder import Forwarder
+from snipebay_node.http_server import HttpServer
+from snipebay_node.metrics import NodeMetrics
+from snipebay_policy.routed import RoutedConfig, RoutedCore
+from snipebay_policy.work import Send
+
+from snipebay_testbed.fake_stream import FakeHub, FakeStream
+
+__all__ = ["ANSWER", "DIALECT", "ForwarderCase"]
+
+DIALECT = Dialect(
+    request_id=b"id", target=b"only", not_run=b"not-run", load=b"load", affinity="key"
+)
+ANSWER = b"HTTP/1.1 200 OK\r\nId: 7\r\nSigned: yes\r\nContent-Length: 2\r\n\r\nhi"
+
+
+class ForwarderCase(unittest.TestCase):
+    """Two backend servers, a route for idempotent requests and an unsafe one."""
+
+    def setUp(self):
+        self.now_s = 0.0
+        self.hub = FakeHub()
+        row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
+        self.core = RoutedCore(RoutedConfig(row), ("c1",))
+        safe = Route("r", "a.example", "/a/", True, 2.0, 0.8, 1, (("s", 1.0),), 2)
+        unsafe = Route("u", "a.example", "/u/", False, 2.0, 0.8, 1, (("s", 1.0),), 2)
+        plan = Plan(1, (safe, unsafe), (RoutedService("s"),))
+        backends = tuple(
+            BackendRow(f"i{n}", "s", f"10.0.1.{n}:80", "a", "a-1", 4) for n in (1, 2)
+        )
+        delta = ViewDelta(0, 1, True, plan=plan, backends=backends, entries=(row,))
+        reply = RenewReply("c1", True, quorum_revision=1, delta=delta)
+        self.core.receive("c1", reply, 0.0)
+        self.forwarder = Forwarder(
+            self.core,
+            self.hub,
+            lambda: self.now_s,
+            NodeMetrics(),
+            self.run_actions,
+            DIALECT,
+        )
+        self.caller = FakeStream()
+        HttpServer(self.forwarder, lambda: self.now_s).accept(self.caller)
+
+    def run_actions(self):
+        while actions := self.core.take_actions():
+            for action in actions:
+                if not isinstance(action, Send):
+                    self.forwarder.carry_out(action)
+
+    def ask(self, path="/a/x", method="GET", extra=""):
+        head = f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nId: 7\r\n{extra}\r\n"
+        self.caller.on_data(head.encode())
+
+    def backend(self, number=-1):
+        stream = self.hub.streams[number]
+        if stream.is_connecting:
+            stream.connect()
+        return stream
+
+    @property
+    def answer(self):
+        return bytes(self.caller.sent)
