Second home of an object is the home in the neighbour domain; busy ones take no strangers' objects

Each failure domain of three had a home and a second home of its own for each of 24 objects, so 16 met at each backend server, and beyond 15 each request takes three times as long (from lines of every request: 0.45 s up to 8 objects ago, 1.4 s from 16 on). Slow requests fill the slots, full slots spread objects further, and that goes on by itself. Ruled out: capacity (21.6 slots needed with objects at hand, 36 to 56 there), slow backend servers (all alike), retries (0.04). Change: the second home is the home in another failure domain of the region, which has the object anyway; it takes such requests up to 0.75 of its slots, others up to 0.25. The order of backend servers for an object is hashed once.

--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -23,7 +23,9 @@
 # Use of its slots up to which a backend server takes requests for objects that it
 # does not have at hand. They take several times as long, so beyond it they would
 # displace more work than they do.
-AWAY_SHARE = 0.5
+AWAY_SHARE = 0.25
+# The same for the second home of an object.
+SECOND_SHARE = 0.75
 # Cost of a full backend server over an idle one, in seconds of latency, so that
 # equally good ones share the load.
 SPREAD_S = 0.02
@@ -32,6 +34,8 @@
 COLD_OWNERS = 3
 COLD_SHARE = 0.15
 
+# Objects whose order of backend servers is kept, so that it is hashed only once.
+RANKS_MOST = 4_096
 # Objects that a backend server is taken to have at hand, of those it handled
 # last; in a trace, answers slowed down from the fifteenth on.
 OBJECTS_AT_HAND = 12
@@ -138,6 +142,7 @@
         self._by_service = {}
         self._evacuated = frozenset()
         self._entries = ()
+        self._ranks = {}
         self.objects = {}
 
     def adopt(self, view, now_s):
@@ -258,15 +263,35 @@
     def _places(self, service, members, key):
         """Return the places for an object of members of one region, by id.
 
-        A failure domain with enough members has homes of its own, which keeps
-        bytes inside it; elsewhere the whole region shares one.
+        A failure domain with enough members for all objects has a home of its
+        own for each, which keeps bytes inside it; the others share one of the
+        whole region. The homes of other failure domains are second homes: the
+        object is at hand there as well, and nothing else is displaced.
         """
-        ranked = sorted(members, key=lambda m: rendezvous_rank(key, m.row.backend_id))
-        own = [m for m in ranked if m.row.domain == self.domain]
-        if len(own) * OBJECTS_AT_HAND >= len(self.objects.get(service, ())):
-            ranked = [*own[:2], *ranked] if len(own) > 1 else [*own, *ranked]
-        ids = list(dict.fromkeys(m.row.backend_id for m in ranked))
-        return dict(zip(ids, (HOME, SECOND), strict=False))
+        ranked = self._ranked(service, members, key)
+        counts = collections.Counter(m.row.domain for m in ranked)
+        objects = len(self.objects.get(service, ()))
+        homes = {}
+        for member in ranked:
+            domain = member.row.domain
+            if counts[domain] * OBJECTS_AT_HAND >= objects:
+                homes.setdefault(domain, member.row.backend_id)
+        ids = [m.row.backend_id for m in ranked]
+        home = homes.get(self.domain) or next(iter(ids), None)
+        others = [i for i in homes.values() if i != home]
+        others = others or [i for i in ids if i != home][:1]
+        return {**dict.fromkeys(others, SECOND), home: HOME}
+
+    def _ranked(self, service, members, key):
+        """Return members in the order that all instances agree on for an object."""
+        if len(self._ranks) > RANKS_MOST:
+            self._ranks.clear()
+        ranks = self._ranks.setdefault((service, key), {})
+        for member in members:
+            name = member.row.backend_id
+            if name not in ranks:
+                ranks[name] = rendezvous_rank(key, name)
+        return sorted(members, key=lambda m: ranks[m.row.backend_id])
 
     def _state(self, member, now_s):
         if not self._is_open(member):
@@ -322,8 +347,8 @@
     Whoever waits there longer than the target leaves is answered late, and
     keeps a slot busy that another one would have been answered in time by.
     """
-    if place == AWAY:
-        return slots * AWAY_SHARE
+    if place != HOME:
+        return slots * (AWAY_SHARE if place == AWAY else SECOND_SHARE)
     spare_s = target_s - times.expected_s(place)
     queue = slots * spare_s / max(times.mean_s, LEAST_SERVICE_S)
     return slots + min(max(queue, QUEUE_LEAST), slots * QUEUE_SHARE)
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -148,6 +148,26 @@
         domains = [self.choose(key=key).row.domain for key in KEYS]
         self.assertGreater(domains.count("a-2"), 10)
 
+    def test_second_home_is_the_home_in_the_other_domain(self):
+        other = Fleet("e9", "a", "a-2")
+        other.adopt(self.view, 0.0)
+        for key in KEYS:
+            home = self.choose(key=key)
+            home.report(9, 0, 0.0)
+            second = self.choose(key=key)
+            theirs = self.choose(key=key, fleet=other)
+            self.assertEqual(second.row.domain, "a-2")
+            self.assertEqual(second.row.backend_id, theirs.row.backend_id)
+            home.report(0, 0, 0.0)
+
+    def test_busy_second_home_takes_nothing(self):
+        self.keep_own_domain()
+        home = self.choose(key="k")
+        for member in self.fleet.members.values():
+            member.report(3, 0, 0.0)
+        home.report(9, 0, 0.0)
+        self.assertIsNone(self.choose(key="k"))
+
     def test_far_region_has_one_home(self):
         for key in KEYS:
             first = self.choose("b", key)
