Control: the last leader may lead again at once after a restart of all

Ruled out: shorter timeouts, which depose leaders over lossy links. Change: a leader's first entry names it. A member whose newest term was begun by the candidate itself lets it be elected without waiting, since a candidate leads no more and no later leader was followed. The term is compared before the request moves it on.

--- a/packages/snipebay-control/src/snipebay_control/raft.py
+++ b/packages/snipebay-control/src/snipebay_control/raft.py
@@ -137,6 +137,8 @@
         self._ready = Ready()
         self._load_members()
         self._reset_deadline()
+        if self._led_last(node):
+            self._deadline_s = now_s
 
     # --- state ------------------------------------------------------------
 
@@ -280,6 +282,9 @@
     def _campaign(self, *, pre, transfer=False):
         """Ask the voters for their votes, or whether they would give them."""
         self._reset_deadline()
+        if self._led_last(self.node):
+            # The others may be starting too; they need not wait for our lease.
+            self._deadline_s = self._now_s + self.timing.heartbeat_s
         self._votes = {self.node}
         self.leader = ""
         if pre:
@@ -306,12 +311,16 @@
 
     def _on_vote_request(self, sender, msg):
         """Grant a vote unless a leader was heard lately or the log is older."""
-        silent = self._now_s - self._heard_s >= self.timing.election_min_s
+        # Asked before the term moves on, since it is the leader of ours that counts.
+        # A cut-off member that comes back must not depose a leader that is heard.
+        allowed = msg.transfer or (self._lets_elect(sender) and not self.is_leader)
+        if msg.term > self.term and not msg.pre and allowed:
+            self._become_follower(msg.term)
         free = msg.pre or self.voted_for in ("", sender)
         granted = (
             self.is_voter
             and (msg.term > self.term if msg.pre else msg.term == self.term)
-            and (msg.transfer or (silent and not self.is_leader))
+            and allowed
             and free
             and self.log.is_up_to_date(msg.last_index, msg.last_term)
         )
@@ -336,11 +345,25 @@
         """Return True when a higher term in a message is real."""
         if isinstance(msg, VoteReply):
             return not msg.granted
-        if not isinstance(msg, VoteRequest):
-            return True
-        # A cut-off member that comes back must not depose a leader that is heard.
-        silent = self._now_s - self._heard_s >= self.timing.election_min_s
-        return not msg.pre and (msg.transfer or (silent and not self.is_leader))
+        return not isinstance(msg, VoteRequest)
+
+    def _lets_elect(self, candidate):
+        """Return True when no other leader than a candidate can hold a lease."""
+        silence_s = self._now_s - self._heard_s
+        return silence_s >= self.timing.election_min_s or self._led_last(candidate)
+
+    def _led_last(self, node):
+        """Return True for the leader of our term, which has begun it by an entry.
+
+        One that asks for votes leads no more, so its own lease binds nobody, and
+        we have followed no later one.
+        """
+        for entry in reversed(self.log.entries):
+            if entry.term != self.term:
+                return False
+            if entry.kind == "noop":
+                return entry.data == node.encode()
+        return False
 
     def _become_follower(self, term, leader=""):
         if term > self.term:
@@ -362,7 +385,7 @@
             if node in self._progress:
                 self._progress[node].acked_s = self._now_s
         self._round_sent_s.clear()
-        self.propose(b"", kind="noop")
+        self.propose(self.node.encode(), kind="noop")
 
     def _reset_deadline(self):
         spread = self.timing.election_max_s - self.timing.election_min_s
--- a/packages/snipebay-control/tests/test_discovery.py
+++ b/packages/snipebay-control/tests/test_discovery.py
@@ -92,6 +92,39 @@
                 rig.elect(6.0)
                 self.assertEqual(rig.leader.core.state.plan.version, 3)
 
+    def test_leader_that_restarts_with_all_others_leads_at_once(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed, loss=0.02)
+                self.assert_all_vote(rig, 5)
+                rig.call(change(3, 0))
+                leader = rig.leader
+                for host in rig.hosts.values():
+                    host.kill()
+                rig.scheduler.run_for(2.0)
+                for host in rig.hosts.values():
+                    host.start()
+                    rig.scheduler.run_for(0.02)
+                shortest_s = rig.cfg.raft.election_min_s
+                took_s = rig.scheduler.wait_for(lambda r=rig: r.leader, shortest_s)
+                self.assertIsNotNone(took_s)
+                self.assertIs(rig.leader, leader)
+                self.assertEqual(leader.core.state.plan.version, 3)
+
+    def test_leader_that_restarts_alone_follows_the_next_one(self):
+        for seed in LUCK:
+            with self.subTest(seed=seed):
+                rig = self.rig(seed, loss=0.02)
+                self.assert_all_vote(rig, 5)
+                old = rig.leader
+                old.kill()
+                rig.call(change(1, 0))
+                new = rig.leader
+                old.start()
+                rig.scheduler.run_for(2.0)
+                self.assertIs(rig.leader, new)
+                self.assertEqual(old.core.state.plan.version, 1)
+
 
 class TestGoneMembers(DiscoveryCase):
     def test_silent_voter_is_taken_out_and_joins_again(self):
