--- a/packages/snipebay-cli/src/snipebay_cli/explain.py
+++ b/packages/snipebay-cli/src/snipebay_cli/explain.py
@@ -72,8 +72,20 @@
     if outcome == "answered":
         return f"{where} relayed status {status} of {sent} {after}{failed}"
     if "backend" not in end:
-        return f"{where} refused it with {status} {after}, unsent: {outcome}"
+        room = _room(end)
+        return f"{where} refused it with {status} {after}, unsent: {outcome}{room}"
     load = f"load {end.get('load')} of {end.get('slots')} slots when it was sent"
     if not status:
         return f"{where} ended it without an answer {after}: {outcome}; {sent}, {load}"
     return f"{where} gave {status} {after}: {outcome}; sent to {sent}, {load}{failed}"
+
+
+def _room(end):
+    """Return what was known of room for a request that was not sent."""
+    service, slots = end.get("service"), end.get("slots_by_region")
+    if not service:
+        return ""
+    if not slots:
+        return f"; no backend server of {service} was in view"
+    listed = ", ".join(f"{count} in {region}" for region, count in slots.items())
+    return f"; {service} had slots: {listed}; wanted region {end.get('region_share')}"
--- a/packages/snipebay-cli/tests/test_explain.py
+++ b/packages/snipebay-cli/tests/test_explain.py
@@ -42,6 +42,10 @@
         cause = explain({**row, "elapsed_s": 0.05}).cause
         self.assertIn("refused it with 503", cause)
         self.assertIn("no backend server has room", cause)
+        row |= {"elapsed_s": 0.05, "service": "s", "region_share": "a"}
+        self.assertIn("no backend server of s was in view", explain(row).cause)
+        row["slots_by_region"] = {"a": 8, "b": 4}
+        self.assertIn("s had slots: 8 in a, 4 in b; wanted", explain(row).cause)
 
     def test_unknown_outcome(self):
         cause = explain(
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -9,7 +9,9 @@
 
 IDLE_LIMIT_S = 20.0
 IDLE_MOST = 8
-CONNECT_TIMEOUT_S = 2.0
+# Some round trips between regions (0.08 s each). One that takes longer has lost a
+# packet, and another backend server is there sooner than its retransmission.
+CONNECT_TIMEOUT_S = 0.4
 KEPT_BODY_BYTES = 16 * 1024
 # Share of the idle time announced by a backend server for which we keep a
 # connection, so that it is not closed while a request is on its way.
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -72,6 +72,8 @@
         ejected_until_s: End of its ejection.
         cold_until_s: When it stops being cold.
         next_cold_s: Earliest time for the next request while it is cold.
+        heard_s: Time of its last answer to us, whatever it was.
+        due_s: Time from which it counts as silent, since requests of ours wait.
         is_stale: True when another backend server answered at its address.
     """
 
@@ -84,6 +86,8 @@
     ejected_until_s: float = -math.inf
     cold_until_s: float = -math.inf
     next_cold_s: float = -math.inf
+    heard_s: float = -math.inf
+    due_s: float = math.inf
     is_stale: bool = False
 
     def load(self, now_s):
@@ -91,6 +95,10 @@
         age_s = max(0.0, now_s - self.reported_s)
         return self.in_flight + self.others * math.exp(-age_s / LOAD_DECAY_S)
 
+    def is_silent(self, now_s):
+        """Return True while it leaves requests of ours without any answer."""
+        return now_s >= self.due_s
+
     def report(self, running, waiting, now_s):
         """Take its own word on its load, which counts our requests as well."""
         self.others = max(0.0, running + waiting - self.in_flight)
@@ -162,9 +170,14 @@
         """Return the members of a service that may get requests, ejected ones last.
 
         When all are ejected, the one that has been so for longest is tried.
+        Silent ones are left out unless they are many: then the service as a
+        whole is slower than we expect.
         """
         found = [m for m in self._by_service.get(service, ()) if self._is_open(m)]
         sound = [m for m in found if now_s >= m.ejected_until_s]
+        lively = [m for m in sound if not m.is_silent(now_s)]
+        if len(lively) >= len(found) * (1 - self.timing.eject_ceiling):
+            return lively
         return sound or sorted(found, key=lambda m: m.ejected_until_s)[:1]
 
     def capacity(self, service, now_s):
@@ -224,6 +237,9 @@
             place = places.get(row.backend_id, AWAY) if key else HOME
             if row.backend_id in exclude or member.in_flight >= own_connections:
                 continue
+            if member.ejections and member.in_flight:
+                # After an ejection, one request at a time until one is answered.
+                continue
             if load >= _most(row.slots, place, times, target_s):
                 continue
             if not self._may_cold(member, cold_per_s, now_s):
@@ -236,12 +252,25 @@
                 best, best_cost, best_place = member, cost, place
         return None if best is None else Choice(best, best_place)
 
-    def start(self, member, cold_per_s, now_s):
-        """Count a request that is sent to a member."""
+    def start(self, member, cold_per_s, now_s, patience_s):
+        """Count a request that is sent to a member, which may be silent so long."""
+        if not member.in_flight:
+            member.due_s = now_s + patience_s
         member.in_flight += 1
         if now_s < member.cold_until_s:
             member.next_cold_s = now_s + 1 / (cold_per_s * COLD_SHARE)
 
+    def hear(self, member, now_s, patience_s):
+        """Take note that a member said something, and may be silent again so long."""
+        member.heard_s = now_s
+        member.due_s = now_s + patience_s
+
+    def release(self, member):
+        """Take note that a request at a member has ended, however it did."""
+        member.in_flight -= 1
+        if not member.in_flight:
+            member.due_s = math.inf
+
     def succeed(self, member):
         """Take note of an answer."""
         member.failures = member.ejections = 0
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -3,8 +3,9 @@
 import collections
 import itertools
 
+from snipebay_policy.forward_reasons import dispatch_reason, problem_of, refusal_reason
 from snipebay_policy.forward_rows import ForwardAttempt, ForwardRow, ForwardRules
-from snipebay_policy.work import NOT_RUN, UNKNOWN, Cancel, Dispatch, Problem, Relay
+from snipebay_policy.work import NOT_RUN, Cancel, Dispatch, Problem, Relay
 
 __all__ = ["ForwardSystem"]
 
@@ -104,6 +105,7 @@
         if row is None or row.attempt is None:
             return
         fleet = self.ctx.fleet
+        self._hear(row, now_s)
         if status >= 500:
             self._blame(row.attempt.member, now_s)
             if row.route.idempotent and self._may_repeat(row, now_s):
@@ -146,6 +148,7 @@
         row = self._by_attempt.get(attempt_id)
         if row is None or row.attempt is None:
             return
+        self._hear(row, now_s)
         if is_elsewhere:
             row.attempt.member.is_stale = True
         if row.relayed:
@@ -167,6 +170,10 @@
             return
         self._fail(row, now_s, "connection", reason)
 
+    def _hear(self, row, now_s):
+        """Take note that a backend server is not silent."""
+        self.ctx.fleet.hear(row.attempt.member, now_s, self._patience_s(row))
+
     def _blame(self, member, now_s):
         """Count a failure of a backend server, and tell when it is ejected."""
         if self.ctx.fleet.fail(member, now_s):
@@ -187,9 +194,36 @@
         """End requests whose time is over, and place those that wait."""
         for row in [row for row in self.rows.values() if now_s >= row.deadline_s]:
             self._time_out(row, now_s)
+        for row in [row for row in self.rows.values() if self._is_stuck(row, now_s)]:
+            self._leave_silent(row, now_s)
         for service in list(self.waiting):
             self.pump(service, now_s)
 
+    def _is_stuck(self, row, now_s):
+        """Return True for a request that is better repeated than waited for."""
+        attempt = row.attempt
+        return (
+            attempt is not None
+            and row.route.idempotent
+            and not row.relayed
+            and attempt.member.is_silent(now_s)
+            and now_s >= attempt.started_s + self._patience_s(row)
+            and row.attempts < row.route.max_attempts
+        )
+
+    def _leave_silent(self, row, now_s):
+        """Repeat a request whose backend server has gone silent, if that is safe."""
+        member, attempt_id = row.attempt.member, row.attempt.attempt_id
+        if not self._may_repeat(row, now_s):
+            return
+        row.may_have_run |= row.attempt.wrote
+        self.ctx.act(Cancel(attempt_id))
+        self._blame(member, now_s)
+        self._repeat(row, now_s)
+
+    def _patience_s(self, row):
+        return self.ctx.times(row.service).patience_s(row.attempt.place)
+
     def pump(self, service, now_s):
         """Send waiting requests where there is room; refuse those too late."""
         waiting = self.waiting.get(service)
@@ -201,7 +235,9 @@
 
     def _patience_end_s(self, row):
         wait_s = row.route.target_latency_s * self.rules.wait_share
-        return min(row.arrived_s + wait_s, row.deadline_s - self.rules.least_attempt_s)
+        return min(
+            row.waits_since_s + wait_s, row.deadline_s - self.rules.least_attempt_s
+        )
 
     # --- placing ----------------------------------------------------------
 
@@ -260,24 +296,9 @@
         row.attempts += 1
         row.tried.add(member.row.backend_id)
         self._by_attempt[attempt.attempt_id] = row
-        self.ctx.fleet.start(member, cold_per_s, now_s)
+        self.ctx.fleet.start(member, cold_per_s, now_s, self._patience_s(row))
         self.ctx.counts["dispatched"] += 1
-        reason = {
-            "route": row.route.name,
-            "kind": row.route.kind,
-            "service": row.service,
-            "target_s": row.route.target_latency_s,
-            "backend": member.row.backend_id,
-            "domain": member.row.domain,
-            "region_share": row.region,
-            "load": round(member.load(now_s), 1),
-            "slots": member.row.slots,
-            "object": row.key,
-            "place": choice.place,
-            "attempt": row.attempts,
-            "waited_s": round(now_s - row.arrived_s, 3),
-            "revision": self.ctx.view.revision,
-        }
+        reason = dispatch_reason(row, choice, self.ctx.view.revision, now_s)
         self.ctx.act(
             Dispatch(
                 row.request_id,
@@ -312,6 +333,7 @@
     def _repeat(self, row, now_s):
         self.ctx.counts["retries"] += 1
         self._end_attempt(row)
+        row.waits_since_s = now_s
         self.waiting.setdefault(row.service, {})[row.request_id] = row
         self._place(row, now_s)
 
@@ -321,6 +343,8 @@
         if attempt is not None:
             row.may_have_run |= attempt.wrote
             self.ctx.act(Cancel(attempt.attempt_id))
+            if attempt.member.heard_s < attempt.started_s:
+                self._blame(attempt.member, now_s)
         self.ctx.counts["timeouts"] += 1
         if row.relayed:
             self._forget(row)
@@ -334,37 +358,14 @@
         if row.may_have_run and status == 503:
             status = 502
         if row.request_id in self.rows:
-            outcome = UNKNOWN if row.may_have_run else NOT_RUN
             retry_after_s = self.rules.retry_after_s if status == 503 else None
             self.ctx.counts[f"problem_{status}"] += 1
-            self.ctx.act(
-                Problem(
-                    row.request_id,
-                    status,
-                    outcome,
-                    detail,
-                    retry_after_s,
-                    reason,
-                    row.service,
-                    row.route.kind,
-                    self._inputs(row),
-                )
-            )
+            slots = self.ctx.fleet.capacity(row.service, row.arrived_s)
+            inputs = refusal_reason(row, slots, self.ctx.view.revision)
+            why = (status, reason, detail, retry_after_s, inputs)
+            self.ctx.act(problem_of(row, *why))
         self._forget(row)
 
-    def _inputs(self, row):
-        """Return what decided on a request that was not sent, for the log."""
-        if row.attempts:
-            return {}
-        slots = self.ctx.fleet.capacity(row.service, row.arrived_s)
-        return {
-            "route": row.route.name,
-            "region_share": row.region,
-            "object": row.key,
-            "slots_by_region": slots,
-            "revision": self.ctx.view.revision,
-        }
-
     def _refuse(self, request_id, reason, detail):
         """Refuse a request for which no row was made."""
         self.ctx.counts["refused"] += 1
@@ -378,7 +379,7 @@
         attempt, row.attempt = row.attempt, None
         if attempt is not None:
             self._by_attempt.pop(attempt.attempt_id, None)
-            attempt.member.in_flight -= 1
+            self.ctx.fleet.release(attempt.member)
 
     def _forget(self, row):
         self._stop_waiting(row)
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
@@ -0,0 +1,67 @@
+"""What decided on a request, for its caller and for the log."""
+
+from snipebay_policy.work import NOT_RUN, UNKNOWN, Problem
+
+__all__ = ["dispatch_reason", "problem_of", "refusal_reason"]
+
+
+def dispatch_reason(row, choice, revision, now_s):
+    """Return why a request goes to a backend server.
+
+    Args:
+        row: The request.
+        choice: Backend server chosen, and its place for the object.
+        revision: Revision of the view.
+        now_s: Time.
+    """
+    member = choice.member
+    return {
+        "route": row.route.name,
+        "kind": row.route.kind,
+        "service": row.service,
+        "target_s": row.route.target_latency_s,
+        "backend": member.row.backend_id,
+        "domain": member.row.domain,
+        "region_share": row.region,
+        "load": round(member.load(now_s), 1),
+        "slots": member.row.slots,
+        "object": row.key,
+        "place": choice.place,
+        "attempt": row.attempts,
+        "waited_s": round(now_s - row.arrived_s, 3),
+        "revision": revision,
+    }
+
+
+def refusal_reason(row, slots_by_region, revision):
+    """Return what decided on a request that ends, empty if it was sent before.
+
+    Args:
+        row: The request.
+        slots_by_region: Slots of the backend servers that could take it.
+        revision: Revision of the view.
+    """
+    if row.attempts:
+        return {}
+    return {
+        "route": row.route.name,
+        "region_share": row.region,
+        "object": row.key,
+        "slots_by_region": slots_by_region,
+        "revision": revision,
+    }
+
+
+def problem_of(row, status, reason, detail, retry_after_s, inputs):
+    """Return what to tell the caller of a request that failed."""
+    return Problem(
+        row.request_id,
+        status,
+        UNKNOWN if row.may_have_run else NOT_RUN,
+        detail,
+        retry_after_s,
+        reason,
+        row.service,
+        row.route.kind,
+        inputs,
+    )
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -49,6 +49,7 @@
         key: Names the object that it concerns, or empty.
         arrived_s: When it arrived.
         deadline_s: When it must have been answered.
+        waits_since_s: When it arrived, or when its last attempt failed.
         attempt: Running attempt, or None.
         tried: Backend servers that it was sent to.
         attempts: Number of attempts so far.
@@ -63,6 +64,9 @@
     key: str
     arrived_s: float
     deadline_s: float
+    waits_since_s: float = attrs.field(
+        default=attrs.Factory(lambda self: self.arrived_s, takes_self=True)
+    )
     attempt: ForwardAttempt | None = None
     tried: set = attrs.Factory(set)
     attempts: int = 0
--- a/packages/snipebay-policy/src/snipebay_policy/service_times.py
+++ b/packages/snipebay-policy/src/snipebay_policy/service_times.py
@@ -9,6 +9,11 @@
 HOME, SECOND, AWAY = range(3)
 # Weight of the newest sample.
 WEIGHT = 0.05
+# Time without any answer from a backend server that counts as silence: so many
+# times what is expected, since answers of a full one come out of their turn, and
+# at least a second, which is the first retransmission of TCP (RFC 6298).
+SILENCE_TIMES = 3.0
+SILENCE_LEAST_S = 1.0
 # Before any sample: what matters is that a home is worth a short wait.
 FIRST_S = (0.2, 0.3, 0.4)
 
@@ -33,6 +38,10 @@
         """
         return max(self.by_place[: place + 1])
 
+    def patience_s(self, place):
+        """Return how long a backend server may say nothing at all."""
+        return max(SILENCE_LEAST_S, SILENCE_TIMES * self.expected_s(place))
+
     def note(self, elapsed_s, place):
         """Take in the time of an answer."""
         self.by_place[place] += WEIGHT * (elapsed_s - self.by_place[place])
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -64,7 +64,7 @@
 
     def test_load_evens_out(self):
         for _ in range(12):
-            self.fleet.start(self.choose(), 5.0, 0.0)
+            self.fleet.start(self.choose(), 5.0, 0.0, 1.0)
         own = [
             m.in_flight for m in self.fleet.members.values() if m.row.domain[0] == "a"
         ]
@@ -207,7 +207,7 @@
             for fleet in self.fleets:
                 member = self.choose(now_s=now_s, fleet=fleet, cold_per_s=cold_per_s)
                 if member is not None:
-                    fleet.start(member, cold_per_s, now_s)
+                    fleet.start(member, cold_per_s, now_s, 1.0)
                     member.in_flight = 0
                     sent.append(now_s)
         for start_s in sent:
@@ -244,6 +244,35 @@
             self.fail(name)
         self.assertEqual(len(self.fleet.usable("s", 0.5)), 6)
 
+    def test_one_request_at_a_time_after_an_ejection(self):
+        self.adopt(backends=(backend("only"),))
+        member = self.choose(now_s=2.0)
+        member.ejections = 1
+        self.fleet.start(member, 5.0, 2.0, 1.0)
+        self.assertIsNone(self.choose(now_s=2.0))
+        self.fleet.succeed(member)
+        self.assertIs(self.choose(now_s=2.0), member)
+
+    def test_silent_one_gets_nothing_until_it_answers(self):
+        first = self.choose()
+        self.fleet.start(first, 5.0, 0.0, 1.0)
+        self.assertIn(first, self.fleet.usable("s", 0.9))
+        self.assertNotIn(first, self.fleet.usable("s", 1.0))
+        self.fleet.hear(first, 1.1, 1.0)
+        self.assertIn(first, self.fleet.usable("s", 1.2))
+
+    def test_idle_one_is_not_silent(self):
+        first = self.choose()
+        self.fleet.start(first, 5.0, 0.0, 1.0)
+        self.fleet.release(first)
+        self.assertIn(first, self.fleet.usable("s", 9.0))
+
+    def test_silence_of_most_tells_nothing_of_one(self):
+        members = list(self.fleet.members.values())
+        for member in members[:8]:
+            self.fleet.start(member, 5.0, 0.0, 1.0)
+        self.assertEqual(len(self.fleet.usable("s", 2.0)), len(members))
+
     def test_one_is_tried_when_all_are_ejected(self):
         self.adopt(backends=(backend("only"),))
         self.fleet.members["only"].ejected_until_s = 9.0
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -198,6 +198,57 @@
         self.assertEqual([a.request_id for a in self.actions(Dispatch)], [4])
 
 
+class TestSilence(ForwardCase):
+    backends = 4
+
+    def silence(self):
+        """Return the time after which a backend server counts as silent."""
+        return self.core.times("s").patience_s(0)
+
+    def test_idempotent_request_is_repeated_elsewhere(self):
+        first = self.send()
+        cancel, second = self.tick(self.silence())
+        self.assertEqual(cancel, Cancel(first.attempt_id))
+        self.assertNotEqual(second.backend, first.backend)
+
+    def test_unsafe_request_waits_on(self):
+        self.send(path="/u/x")
+        self.assertEqual(self.tick(self.silence()), [])
+
+    def test_request_of_a_server_that_answers_others_waits_on(self):
+        rows = (BackendRow("i9", "s", "10.0.1.9:80", "a", "a-1", 4),)
+        gone = tuple(f"i{n}" for n in range(self.backends))
+        self.adopt(ViewDelta(1, 2, backends=rows, backends_gone=gone))
+        self.actions()
+        self.send(1)
+        other = self.send(2)
+        self.tick(0.9 * self.silence())
+        self.core.forward.answered(other.attempt_id, 200, self.now_s)
+        self.core.forward.finished(other.attempt_id, self.now_s)
+        self.actions()
+        self.assertEqual(self.tick(0.2 * self.silence()), [])
+
+    def test_timeouts_without_any_answer_eject(self):
+        for request_id in range(3):
+            self.send(request_id, "/u/x", timeout_s=0.9)
+            member = self.core.fleet.members["i0"]
+            self.core.forward.rows[request_id].attempt.member = member
+            self.tick(0.95)
+        events = [event for event, _, _ in self.core.take_notes()]
+        self.assertIn("backend server ejected", events)
+
+    def test_repeat_waits_for_room_anew(self):
+        first = self.send()
+        self.now_s = 0.5
+        for member in self.core.fleet.members.values():
+            member.report(9, 0, self.now_s)
+        self.core.forward.failed(first.attempt_id, "broke", self.now_s)
+        self.assertEqual(self.actions(), [])
+        for member in self.core.fleet.members.values():
+            member.report(0, 0, self.now_s)
+        self.assertEqual([a.request_id for a in self.tick(0.05)], [1])
+
+
 class TestEnding(ForwardCase):
     def test_deadline_of_a_written_request(self):
         self.send()
