Silence is judged by the slowest answer of late, and leaves the shares by region alone

Ruled out: requests that leave full regions one by one (bounded to 5 in 100). Change: patience is 1.5 times the slowest answer of late, and nothing is judged before an answer; silent backend servers are passed over within their region, unless they are more than half there, and still count as room.

--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -170,14 +170,9 @@
         """Return the members of a service that may get requests, ejected ones last.
 
         When all are ejected, the one that has been so for longest is tried.
-        Silent ones are left out unless they are many: then the service as a
-        whole is slower than we expect.
         """
         found = [m for m in self._by_service.get(service, ()) if self._is_open(m)]
         sound = [m for m in found if now_s >= m.ejected_until_s]
-        lively = [m for m in sound if not m.is_silent(now_s)]
-        if len(lively) >= len(found) * (1 - self.timing.eject_ceiling):
-            return lively
         return sound or sorted(found, key=lambda m: m.ejected_until_s)[:1]
 
     def capacity(self, service, now_s):
@@ -228,7 +223,7 @@
             connections: Connections that it takes in all, shared out evenly.
         """
         own_connections = max(1, connections // max(1, len(self._entries)))
-        members = [m for m in self.usable(service, now_s) if m.row.region == region]
+        members = self._lively(service, region, now_s)
         places = self._places(service, members, key) if key else {}
         best, best_cost, best_place = None, math.inf, HOME
         for member in members:
@@ -252,6 +247,16 @@
                 best, best_cost, best_place = member, cost, place
         return None if best is None else Choice(best, best_place)
 
+    def _lively(self, service, region, now_s):
+        """Return usable members of a region without the silent ones.
+
+        Many silent ones are kept: then the service as a whole is slow.
+        """
+        found = [m for m in self.usable(service, now_s) if m.row.region == region]
+        lively = [m for m in found if not m.is_silent(now_s)]
+        least = len(found) * (1 - self.timing.eject_ceiling)
+        return lively if len(lively) >= least else found
+
     def start(self, member, cold_per_s, now_s, patience_s):
         """Count a request that is sent to a member, which may be silent so long."""
         if not member.in_flight:
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -172,7 +172,9 @@
 
     def _hear(self, row, now_s):
         """Take note that a backend server is not silent."""
-        self.ctx.fleet.hear(row.attempt.member, now_s, self._patience_s(row))
+        times = self.ctx.times(row.service)
+        times.note_any(now_s - row.attempt.started_s)
+        self.ctx.fleet.hear(row.attempt.member, now_s, times.patience_s)
 
     def _blame(self, member, now_s):
         """Count a failure of a backend server, and tell when it is ejected."""
@@ -207,7 +209,7 @@
             and row.route.idempotent
             and not row.relayed
             and attempt.member.is_silent(now_s)
-            and now_s >= attempt.started_s + self._patience_s(row)
+            and now_s >= attempt.started_s + self.ctx.times(row.service).patience_s
             and row.attempts < row.route.max_attempts
         )
 
@@ -221,9 +223,6 @@
         self._blame(member, now_s)
         self._repeat(row, now_s)
 
-    def _patience_s(self, row):
-        return self.ctx.times(row.service).patience_s(row.attempt.place)
-
     def pump(self, service, now_s):
         """Send waiting requests where there is room; refuse those too late."""
         waiting = self.waiting.get(service)
@@ -296,7 +295,8 @@
         row.attempts += 1
         row.tried.add(member.row.backend_id)
         self._by_attempt[attempt.attempt_id] = row
-        self.ctx.fleet.start(member, cold_per_s, now_s, self._patience_s(row))
+        patience_s = self.ctx.times(row.service).patience_s
+        self.ctx.fleet.start(member, cold_per_s, now_s, patience_s)
         self.ctx.counts["dispatched"] += 1
         reason = dispatch_reason(row, choice, self.ctx.view.revision, now_s)
         self.ctx.act(
--- a/packages/snipebay-policy/src/snipebay_policy/service_times.py
+++ b/packages/snipebay-policy/src/snipebay_policy/service_times.py
@@ -1,5 +1,7 @@
 """How long backend servers of one service take, by what they have at hand."""
 
+import math
+
 import attrs
 
 __all__ = ["AWAY", "HOME", "SECOND", "ServiceTimes"]
@@ -10,10 +12,12 @@
 # Weight of the newest sample.
 WEIGHT = 0.05
 # Time without any answer from a backend server that counts as silence: so many
-# times what is expected, since answers of a full one come out of their turn, and
-# at least a second, which is the first retransmission of TCP (RFC 6298).
-SILENCE_TIMES = 3.0
+# times the slowest answer of late, and at least a second, which is the first
+# retransmission of TCP (RFC 6298).
+SILENCE_TIMES = 1.5
 SILENCE_LEAST_S = 1.0
+# Part of the slowest answer that is left after each quicker one.
+SLOWEST_FADE = 0.99
 # Before any sample: what matters is that a home is worth a short wait.
 FIRST_S = (0.2, 0.3, 0.4)
 
@@ -25,10 +29,12 @@
     Attributes:
         by_place: Seconds at a home, at a second home and elsewhere.
         mean_s: Over all.
+        slowest_s: Slowest answer of late, waits included; infinite before any.
     """
 
     by_place: list = attrs.Factory(lambda: list(FIRST_S))
     mean_s: float = FIRST_S[HOME]
+    slowest_s: float = math.inf
 
     def expected_s(self, place):
         """Return the expected time of a request that finds a slot free.
@@ -38,9 +44,15 @@
         """
         return max(self.by_place[: place + 1])
 
-    def patience_s(self, place):
-        """Return how long a backend server may say nothing at all."""
-        return max(SILENCE_LEAST_S, SILENCE_TIMES * self.expected_s(place))
+    @property
+    def patience_s(self):
+        """How long a backend server may say nothing at all."""
+        return max(SILENCE_LEAST_S, SILENCE_TIMES * self.slowest_s)
+
+    def note_any(self, elapsed_s):
+        """Take in the time of an answer, whether it waited for a slot or not."""
+        faded_s = 0.0 if self.slowest_s == math.inf else self.slowest_s * SLOWEST_FADE
+        self.slowest_s = max(elapsed_s, faded_s)
 
     def note(self, elapsed_s, place):
         """Take in the time of an answer."""
