An entry instance that returns after its lease ran out is not removed again at once

The leader kept the end of the old lease, so the new row had lapsed when it was made, and was removed unless the next report came first. Ruled out: two processes at one address (one incarnation only). Change: whoever joins starts a lease. Test: test_lapsed_instance_that_returns_stays, failing first.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -298,6 +298,7 @@
     def _put_entry(self, old, row):
         since = old.since_revision if old else 0
         if old != attrs.evolve(row, since_revision=since):
+            self.sessions.grant_entry(row.entry_id, self._now_s)
             self._propose_once(messages.PutEntry(row))
 
     def _reply(self, region, base, *, granted, sent_ms=0):
--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -54,7 +54,7 @@
     def renew(self, msg: Renew, state, now_s):
         """Take note of an entry instance's report."""
         entry_id = msg.row.entry_id
-        self.entry_until_s[entry_id] = self._entry_end(now_s)
+        self.grant_entry(entry_id, now_s)
         self.reports[entry_id] = msg
         for backend_id in msg.backends_seen:
             if backend_id in state.backends:
@@ -62,6 +62,10 @@
                     backend_id, state.backends[backend_id].service, now_s
                 )
 
+    def grant_entry(self, entry_id, now_s):
+        """Start a lease for an entry instance that joins, whatever it had before."""
+        self.entry_until_s[entry_id] = self._entry_end(now_s)
+
     def touch_backend(self, backend_id, service, now_s):
         """Extend a backend server's lease."""
         self.backend_until_s[backend_id] = self._backend_end(service, now_s)
--- a/packages/snipebay-control/tests/test_discovery.py
+++ b/packages/snipebay-control/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 import numpy as np
 from snipebay_control.core import ControlConfig
 from snipebay_control.sessions import LeaseTiming
@@ -307,6 +308,22 @@
         rig.scheduler.run_for(4.0)
         self.assertNotIn("e1", leader.core.state.entries)
 
+    def test_lapsed_instance_that_returns_stays(self):
+        cfg = ControlConfig("", (), leases=LeaseTiming(settle_s=0, needs_witness=False))
+        rig = self.rig(7, cfg=cfg)
+        leader = self.leader_of(rig)
+        row = EntryRow("e1", "x", "10.0.0.2:80", "e1", "a", "a-1")
+        for incarnation in ("x", "y"):
+            row = attrs.evolve(row, incarnation=incarnation)
+            for _ in range(5):
+                rig.network.send("e1", leader.id, Renew(row, 0, 0, 0))
+                rig.scheduler.run_for(0.5)
+                table = leader.core.state.entries
+                self.assertIn("e1", table)
+                self.assertEqual(table["e1"].incarnation, incarnation)
+            rig.scheduler.run_for(8.0)
+            self.assertNotIn("e1", leader.core.state.entries)
+
     def leader_of(self, rig):
         self.assert_all_vote(rig, 5)
         return rig.leader
