Routes with allowed regions are served where the own region keeps all shares

An entry whose own region keeps everything has a share for that one only, and regions were taken from the shares; with none of them allowed, no region was left. Ruled out: room and health of the allowed regions. Change: allowed regions without a share are used in proportion to their slots. Tests: test_allowed_regions_without_a_share_are_used_by_their_slots, TestAllowedRegions, failing first.

--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -269,10 +269,10 @@
     def _regions(self, row):
         """Return regions to try, the chosen one first."""
         allowed = row.route.allowed_regions
-        known = self.ctx.shares(row.service).shares
+        known = self.ctx.shares(row.service).regions(allowed)
         others = sorted(known, key=lambda r: (r != self.ctx.region, r))
         found = dict.fromkeys((row.region, *others))
-        return [r for r in found if r and (not allowed or r in allowed)]
+        return [r for r in found if r]
 
     def _spill(self, row):
         """Return True when a request may leave the region chosen for it."""
--- a/packages/snipebay-policy/src/snipebay_policy/region_shares.py
+++ b/packages/snipebay-policy/src/snipebay_policy/region_shares.py
@@ -53,16 +53,19 @@
         home: Our region.
         per_s: Greatest part of the requests that changes region in a second.
         shares: Share by region.
+        capacity: Slots by region, as they were last given.
     """
 
     home: str
     per_s: float
     shares: dict = attrs.Factory(dict)
+    capacity: dict = attrs.Factory(dict)
     _at_s: float | None = None
     _splits: dict = attrs.Factory(dict)
 
     def move(self, capacity, demand, now_s):
         """Bring the shares forward to a time."""
+        self.capacity = capacity
         wanted = wanted_shares(self.home, capacity, demand)
         # A region without room is left at once, whatever the speed.
         kept = {r: share for r, share in self.shares.items() if r in capacity}
@@ -80,13 +83,9 @@
             position: Place of the object in the order of all, from 0 to 1.
             allowed: Regions to choose from, empty for all.
         """
-        rows = [
-            (region, share)
-            for region, share in sorted(
-                self.shares.items(), key=lambda row: (row[0] != self.home, row[0])
-            )
-            if share > 0 and (not allowed or region in allowed)
-        ]
+        rows = sorted(
+            self._weights(allowed), key=lambda row: (row[0] != self.home, row[0])
+        )
         left = position * sum(share for _, share in rows)
         for region, share in rows:
             left -= share
@@ -94,17 +93,34 @@
                 return region
         return rows[-1][0] if rows else None
 
+    def regions(self, allowed=()):
+        """Return the regions that may take requests, in a fixed order."""
+        known = [r for r in self.shares if not allowed or r in allowed]
+        return sorted(known or (region for region, _ in self._weights(allowed)))
+
+    def _weights(self, allowed):
+        """Return pairs of region and weight.
+
+        Where none of the allowed regions has a share, since the own region
+        keeps all that it may, they get one by their slots.
+        """
+        for table in (self.shares, self.capacity):
+            rows = [
+                (region, weight)
+                for region, weight in table.items()
+                if weight > 0 and (not allowed or region in allowed)
+            ]
+            if rows or not allowed:
+                return rows
+        return []
+
     def next(self, allowed=()):
         """Return the region whose turn it is, or None when none has room.
 
         Args:
             allowed: Regions to choose from, empty for all.
         """
-        weights = tuple(
-            (region, share)
-            for region, share in sorted(self.shares.items())
-            if not allowed or region in allowed
-        )
+        weights = tuple(sorted(self._weights(allowed)))
         names = tuple(region for region, _ in weights)
         split = self._splits.get(names)
         if split is None:
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -199,6 +199,20 @@
         self.assertEqual([a.request_id for a in self.actions(Dispatch)], [4])
 
 
+class TestAllowedRegions(ForwardCase):
+    def test_request_goes_to_a_region_that_is_not_ours(self):
+        route = attrs.evolve(ROUTE, name="h", prefix="/h/", allowed_regions=("b",))
+        rows = (BackendRow("far", "s", "10.0.2.1:80", "b", "b-1", 4),)
+        plan = Plan(2, (ROUTE, route), (RoutedService("s"),))
+        self.adopt(ViewDelta(1, 2, plan=plan, backends=rows))
+        self.actions()
+        self.core.shares("s").shares = {"a": 1.0}
+        (dispatch,) = self.arrive(1, "/h/x")
+        self.assertEqual(dispatch.backend.backend_id, "far")
+        (dispatch,) = self.arrive(2)
+        self.assertEqual(dispatch.backend.region, "a")
+
+
 class TestSilence(ForwardCase):
     backends = 4
 
--- a/packages/snipebay-policy/tests/test_routing.py
+++ b/packages/snipebay-policy/tests/test_routing.py
@@ -141,6 +141,17 @@
         self.assertEqual(self.shares.next(("a",)), "a")
         self.assertIsNone(self.shares.next(("c",)))
 
+    def test_allowed_regions_without_a_share_are_used_by_their_slots(self):
+        shares = RegionShares("a", per_s=0.03)
+        shares.move({"a": 10, "b": 10, "c": 30}, {"a": 1.0}, 0.0)
+        self.assertEqual(shares.shares, {"a": 1.0})
+        found = [shares.next(("b", "c")) for _ in range(8)]
+        self.assertEqual((found.count("b"), found.count("c")), (2, 6))
+        self.assertEqual(shares.region_at(0.1, ("b", "c")), "b")
+        self.assertEqual(shares.region_at(0.9, ("b", "c")), "c")
+        self.assertEqual(shares.regions(("b", "c")), ["b", "c"])
+        self.assertEqual(shares.regions(), ["a"])
+
 
 if __name__ == "__main__":
     unittest.main()
