A repeat after a failed connection goes to another failure domain; connections that never came about say so

Change: failure domains where a connection of the request failed are used only if the region has no other. Tests: TestLostDomain, test_connection_that_does_not_come_about_is_a_failure.

--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -101,7 +101,7 @@
         for connection in list(self._calls.values()):
             late = now_s - connection.since_s > CONNECT_TIMEOUT_S
             if connection.stream.is_connecting and late:
-                connection.stream.abort()
+                connection.give_up_connecting()
 
     def close(self):
         """Close all idle connections."""
@@ -171,6 +171,11 @@
         self.req = None
         self.stream.abort()
 
+    def give_up_connecting(self):
+        """Fail the request, since no connection has come about in time."""
+        self._fail(f"no connection within {CONNECT_TIMEOUT_S} s")
+        self.stream.abort()
+
     def _write(self):
         req = self.req
         if req is None or not self.pool.listener.may_write(req.attempt_id):
--- a/packages/snipebay-node/tests/test_http.py
+++ b/packages/snipebay-node/tests/test_http.py
@@ -4,7 +4,12 @@
 import unittest
 
 from snipebay_node.http_server import HttpServer
-from snipebay_node.upstream import UpstreamPool, UpstreamRequest, end_to_end
+from snipebay_node.upstream import (
+    CONNECT_TIMEOUT_S,
+    UpstreamPool,
+    UpstreamRequest,
+    end_to_end,
+)
 from snipebay_testbed.fake_stream import FakeHub, FakeStream
 
 
@@ -229,6 +234,16 @@
         fresh = self.start(2)
         self.assertIsNot(fresh, stream)
 
+    def test_connection_that_does_not_come_about_is_a_failure(self):
+        stream = self.start(1)
+        self.now_s = CONNECT_TIMEOUT_S
+        self.pool.tick(self.now_s)
+        self.assertTrue(stream.is_open)
+        self.now_s += 0.01
+        self.pool.tick(self.now_s)
+        self.assertFalse(stream.is_open)
+        self.assertEqual(self.listener.told, [("failure", 1)])
+
     def test_answer_cut_short_is_a_failure(self):
         stream = self.start(1)
         stream.connect()
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -205,6 +205,7 @@
         exclude,
         cold_per_s,
         connections,
+        shunned=(),
     ):
         """Return the :class:`Choice` that should end a request first, or None.
 
@@ -221,11 +222,12 @@
             exclude: Ids that have failed the request.
             cold_per_s: Rate that a cold backend server tolerates in all.
             connections: Connections that it takes in all, shared out evenly.
+            shunned: Failure domains to use only if there is no other.
         """
         own_connections = max(1, connections // max(1, len(self._entries)))
         members = self._lively(service, region, now_s)
         places = self._places(service, members, key) if key else {}
-        best, best_cost, best_place = None, math.inf, HOME
+        best, best_cost, best_place = None, (True, math.inf), HOME
         for member in members:
             row = member.row
             load = member.load(now_s)
@@ -243,8 +245,9 @@
             cost = times.expected_s(place) + queued / row.slots * times.mean_s
             cost += load / row.slots * SPREAD_S
             cost += FAR_DOMAIN_S if row.domain != self.domain else 0.0
-            if cost < best_cost:
-                best, best_cost, best_place = member, cost, place
+            ranked = (row.domain in shunned, cost)
+            if ranked < best_cost:
+                best, best_cost, best_place = member, ranked, place
         return None if best is None else Choice(best, best_place)
 
     def _lively(self, service, region, now_s):
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -168,6 +168,7 @@
             self._forget(row)
             self.pump(row.service, now_s)
             return
+        row.shunned.add(row.attempt.member.row.domain)
         self._fail(row, now_s, "connection", reason)
 
     def _hear(self, row, now_s):
@@ -255,6 +256,7 @@
                 times=self.ctx.times(row.service),
                 target_s=row.route.target_latency_s,
                 exclude=row.tried,
+                shunned=row.shunned,
                 cold_per_s=cold_per_s,
                 connections=service.max_connections,
             )
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -52,6 +52,7 @@
         waits_since_s: When it arrived, or when its last attempt failed.
         attempt: Running attempt, or None.
         tried: Backend servers that it was sent to.
+        shunned: Failure domains where a connection of it failed.
         attempts: Number of attempts so far.
         relayed: True once its answer goes to the caller.
         may_have_run: True when an attempt may have run.
@@ -69,6 +70,7 @@
     )
     attempt: ForwardAttempt | None = None
     tried: set = attrs.Factory(set)
+    shunned: set = attrs.Factory(set)
     attempts: int = 0
     relayed: bool = False
     may_have_run: bool = False
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -199,6 +199,24 @@
         self.assertEqual([a.request_id for a in self.actions(Dispatch)], [4])
 
 
+class TestLostDomain(ForwardCase):
+    def test_failed_connection_is_repeated_in_another_domain(self):
+        rows = (BackendRow("far", "s", "10.0.2.1:80", "a", "a-2", 1),)
+        self.adopt(ViewDelta(1, 2, backends=rows))
+        self.actions()
+        first = self.send()
+        self.assertEqual(first.backend.domain, "a-1")
+        self.core.forward.failed(first.attempt_id, "broke", 0.0)
+        (second,) = self.actions(Dispatch)
+        self.assertEqual(second.backend.backend_id, "far")
+
+    def test_only_domain_is_used_again(self):
+        first = self.send()
+        self.core.forward.failed(first.attempt_id, "broke", 0.0)
+        (second,) = self.actions(Dispatch)
+        self.assertEqual(second.backend.domain, "a-1")
+
+
 class TestAllowedRegions(ForwardCase):
     def test_request_goes_to_a_region_that_is_not_ours(self):
         route = attrs.evolve(ROUTE, name="h", prefix="/h/", allowed_regions=("b",))
