A newcomer of an old group is not taken for a lost member; tests print no lines of faults made on purpose

Ruled out: a second greeting under another name. Change: silence counts from when the leader began to ask a member. Test: test_newcomer_of_an_old_group_is_not_taken_for_lost, failing first (a newcomer that is far, members that are near).

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -152,7 +152,7 @@
         self._read_leases()
         self._expire()
         self._move_clock()
-        self.joining.change_members(now_s, self._led_since_s)
+        self.joining.change_members()
         self._push()
 
     def take_ready(self):
--- a/packages/snipebay-control/src/snipebay_control/joining.py
+++ b/packages/snipebay-control/src/snipebay_control/joining.py
@@ -52,23 +52,17 @@
             return self._hear_peer(sender, msg)
         return []
 
-    def change_members(self, now_s, led_since_s):
-        """Propose the next change of the member list as leader, if one is due.
-
-        Args:
-            now_s: Time.
-            led_since_s: Since when we lead, before which silence tells nothing.
-        """
-        raft, gone_s = self._raft, self._cfg.gone_s
-        judges = self._cfg.discovers and now_s - led_since_s >= gone_s
+    def change_members(self):
+        """Propose the next change of the member list as leader, if one is due."""
+        raft, cfg = self._raft, self._cfg
         members = next_members(
             raft.members,
             self.newcomers.values(),
             raft.match_index,
             raft.log.last_index,
-            lambda node: raft.heard_within(node, self._cfg.raft.election_max_s),
-            lambda node: judges and not raft.heard_within(node, gone_s),
-            len(self._cfg.founders),
+            lambda node: raft.heard_within(node, cfg.raft.election_max_s),
+            lambda node: cfg.discovers and raft.is_silent(node, cfg.gone_s),
+            len(cfg.founders),
         )
         if members is None:
             return
--- a/packages/snipebay-control/src/snipebay_control/raft.py
+++ b/packages/snipebay-control/src/snipebay_control/raft.py
@@ -90,9 +90,10 @@
 
 @attrs.define
 class _Progress:
-    """What a leader knows of one member."""
+    """What a leader knows of one member, and since when it asks."""
 
     next_index: int
+    since_s: float
     match_index: int = 0
     acked_s: float = float("-inf")
     acked_round: int = 0
@@ -177,6 +178,13 @@
         progress = self._progress.get(node)
         return progress is not None and self._now_s - progress.acked_s <= seconds
 
+    def is_silent(self, node, seconds):
+        """Return True when a leader has asked a member for so long in vain."""
+        progress = self._progress.get(node)
+        if node == self.node or progress is None:
+            return False
+        return self._now_s - max(progress.acked_s, progress.since_s) >= seconds
+
     def silence_s(self, now_s):
         """Return how long no leader has been heard, 0 for a leader."""
         return 0.0 if self.is_leader else now_s - self._heard_s
@@ -379,7 +387,9 @@
         self.role = "leader"
         self.leader = self.node
         next_index = self.log.last_index + 1
-        self._progress = {node: _Progress(next_index) for node in self.members}
+        self._progress = {
+            node: _Progress(next_index, self._now_s) for node in self.members
+        }
         # The election itself is the first sign of life of the quorum.
         for node in self._votes:
             if node in self._progress:
@@ -581,7 +591,9 @@
             for node in self.members:
                 if node not in self._progress:
                     # A new member starts with no sign of life of its own.
-                    self._progress[node] = _Progress(self.log.last_index + 1)
+                    self._progress[node] = _Progress(
+                        self.log.last_index + 1, self._now_s
+                    )
 
     def _members_at(self, index):
         """Return the member table in force at an index."""
--- a/packages/snipebay-control/tests/test_discovery.py
+++ b/packages/snipebay-control/tests/test_discovery.py
@@ -166,6 +166,24 @@
             rig.scheduler.run_for(2 * rig.cfg.gone_s)
         self.assertEqual(sum(rig.elect().core.raft.members.values()), 3)
 
+    def test_newcomer_of_an_old_group_is_not_taken_for_lost(self):
+        # The list is confirmed by those near before the newcomer has answered.
+        def delay_s(source, target):
+            return 0.1 if "c6" in source + target else 0.004
+
+        rig = self.rig(5, 6, absent=("c6",), delay_s=delay_s)
+        self.assert_all_vote(rig, 5)
+        rig.scheduler.run_for(2 * rig.cfg.gone_s)
+        raft = rig.elect().core.raft
+        rig.hosts["c6"].start()
+        seen = []
+        for _ in range(100):
+            rig.scheduler.run_for(0.01)
+            if not seen or seen[-1] != raft.members:
+                seen.append(dict(raft.members))
+        self.assertEqual([len(members) for members in seen], [5, 6, 6])
+        self.assertTrue(seen[-1]["c6#a"])
+
     def test_replaced_machines_leave_a_majority_of_those_that_live(self):
         rig = self.rig(4, 7, absent=("c6", "c7"))
         self.assert_all_vote(rig, 5)
--- a/packages/snipebay-testbed/src/snipebay_testbed/run_tests.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/run_tests.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import importlib.util
+import logging
 import os
 import pathlib
 import sys
@@ -10,6 +11,7 @@
 
 import attrs
 import cyclopts
+import structlog
 
 __all__ = ["main"]
 
@@ -44,6 +46,9 @@
 def run_module(path):
     """Return the result of one test module."""
     start_s = time.monotonic()
+    # Lines on faults that tests make on purpose would bury the result.
+    quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    structlog.configure(wrapper_class=quiet)
     name = pathlib.Path(path).stem
     spec = importlib.util.spec_from_file_location(name, path)
     module = importlib.util.module_from_spec(spec)
