--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -8,7 +8,7 @@
 from snipebay_policy.deal import rendezvous_rank
 from snipebay_policy.service_times import AWAY, HOME, SECOND
 
-__all__ = ["Choice", "Fleet", "FleetTiming", "Member"]
+__all__ = ["Choice", "Fleet", "FleetCounts", "FleetTiming", "Member"]
 
 # Time constant with which the load that others caused is taken to end.
 LOAD_DECAY_S = 0.5
@@ -161,6 +161,8 @@
             member = self._next(self.members.get(row.backend_id), row, now_s)
             members[row.backend_id] = member
             by_service.setdefault(row.service, []).append(member)
+        if self.members.keys() - members.keys():
+            self._ranks.clear()
         self.members = members
         self._by_service = by_service
         self._evacuated = frozenset(view.evacuated)
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -160,6 +160,12 @@
             self.assertEqual(second.row.backend_id, theirs.row.backend_id)
             home.report(0, 0, 0.0)
 
+    def test_orders_of_those_that_are_gone_are_not_kept(self):
+        for number in range(50):
+            self.adopt(backends=(backend(f"i{number}"), backend(f"j{number}")))
+            self.choose(key="k")
+        self.assertLessEqual(len(self.fleet._ranks["s", "k"]), 2)
+
     def test_busy_second_home_takes_nothing(self):
         self.keep_own_domain()
         home = self.choose(key="k")
