After reading the whole change: one action queue, one set of headers for the next hop, no dead counts

- Queues of actions stood in three cores; ActionQueue serves them.
The kinds of control messages stood in both nodes; they are in action_loop.
- Both forwarders built the headers for a backend server by the same lines; next_hop_headers does.
- Forwarding kept counts that nothing reads since the metrics; removed.
A request's service and kind stood beside the fields that hold them; they are read from those.
- Owners of a cold backend server were hashed again for each request; they are kept until the next view.
The room in view was added up for each failed request; now only for those that were never sent.

--- a/packages/snipebay-node/src/snipebay_node/action_loop.py
+++ b/packages/snipebay-node/src/snipebay_node/action_loop.py
@@ -1,8 +1,20 @@
 """Carries out what the pure cores of one process decide, until nothing is left."""
 
+from snipebay_control.core import RAFT_MESSAGES
+from snipebay_model import messages
+
 from snipebay_node.storage import StorageError
 
-__all__ = ["ActionLoop"]
+__all__ = ["CONTROL_MESSAGES", "SIGNED_MESSAGES", "ActionLoop"]
+
+# Between control instances, which sign with the incarnation of their disk.
+SIGNED_MESSAGES = (*RAFT_MESSAGES, messages.Hello)
+CONTROL_MESSAGES = (
+    *SIGNED_MESSAGES,
+    messages.CommandRequest,
+    messages.Renew,
+    messages.StatusRequest,
+)
 
 
 class ActionLoop:
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -11,6 +11,7 @@
     UpstreamPool,
     UpstreamRequest,
     end_to_end,
+    next_hop_headers,
 )
 
 __all__ = ["Forwarder"]
@@ -41,8 +42,14 @@
     arrived_s: float
     relayed: int = 0
     decision: dict = attrs.Factory(dict)
-    service: str = ""
-    kind: str = ""
+
+    @property
+    def service(self):
+        return self.decision.get("service", "")
+
+    @property
+    def kind(self):
+        return self.decision.get("kind", "")
 
 
 @attrs.frozen
@@ -144,7 +151,6 @@
             return
         exchange = running.exchange
         decision = running.decision = action.reason
-        running.service, running.kind = decision["service"], decision["kind"]
         self._sent[action.attempt_id] = _Sent(action.request_id, running.service)
         self.metrics.attempt_begun(
             running.service, decision["attempt"], decision["waited_s"]
@@ -165,14 +171,8 @@
     def _headers(self, exchange, backend_id, left_ms):
         """Return the headers that go to the backend server."""
         dialect = self.dialect
-        replaced = (dialect.deadline_ms, dialect.target, b"content-length", b"expect")
-        headers = [
-            (name, value)
-            for name, value in end_to_end(exchange.headers)
-            if name not in replaced
-        ]
-        if exchange.body or exchange.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", str(len(exchange.body)).encode()))
+        replaced = (dialect.deadline_ms, dialect.target)
+        headers = next_hop_headers(exchange, replaced)
         headers.append((dialect.deadline_ms, str(left_ms).encode()))
         if dialect.target:
             headers.append((dialect.target, backend_id.encode()))
@@ -196,8 +196,6 @@
         running = self._running.pop(action.request_id, None)
         if running is None:
             return
-        running.service = action.service or running.service
-        running.kind = action.kind or running.kind
         running.decision = {**action.inputs, **running.decision}
         exchange = running.exchange
         if exchange.is_started:
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -8,7 +8,7 @@
 import structlog
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
-from snipebay_control.core import RAFT_MESSAGES, ControlConfig, ControlCore
+from snipebay_control.core import ControlConfig, ControlCore
 from snipebay_model import messages
 from snipebay_model.units import LOOKUP_TTL_S
 from snipebay_model.view import EntryRow
@@ -16,7 +16,7 @@
 from snipebay_policy.entry import EntryCore
 from snipebay_policy.work import Send
 
-from snipebay_node.action_loop import ActionLoop
+from snipebay_node.action_loop import CONTROL_MESSAGES, SIGNED_MESSAGES, ActionLoop
 from snipebay_node.api import Api
 from snipebay_node.bus import Bus
 from snipebay_node.change_log import ChangeLog
@@ -33,14 +33,6 @@
 
 TICK_S = 0.05
 FORGET_S = 30.0
-# Between control instances, which sign with the incarnation of their disk.
-SIGNED_MESSAGES = (*RAFT_MESSAGES, messages.Hello)
-CONTROL_MESSAGES = (
-    *SIGNED_MESSAGES,
-    messages.CommandRequest,
-    messages.Renew,
-    messages.StatusRequest,
-)
 
 log = structlog.get_logger(__name__)
 
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -13,7 +13,12 @@
 )
 
 from snipebay_node.logs import end_span, trace_id
-from snipebay_node.upstream import UpstreamPool, UpstreamRequest, end_to_end
+from snipebay_node.upstream import (
+    UpstreamPool,
+    UpstreamRequest,
+    end_to_end,
+    next_hop_headers,
+)
 
 __all__ = ["Proxy"]
 
@@ -148,17 +153,11 @@
 
     def _headers(self, exchange, span, left_ms):
         """Return the headers that go to the backend server."""
-        replaced = (b"snipebay-timeout-ms", b"content-length", b"expect")
+        replaced = (b"snipebay-timeout-ms",)
         traced = self.tracing.headers(span)
         if traced:
             replaced += (b"traceparent", b"tracestate")
-        headers = [
-            (name, value)
-            for name, value in end_to_end(exchange.headers)
-            if name not in replaced
-        ]
-        if exchange.body or exchange.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", str(len(exchange.body)).encode()))
+        headers = next_hop_headers(exchange, replaced)
         headers.append((b"snipebay-timeout-ms", str(left_ms).encode()))
         return [*headers, *traced, VIA]
 
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -8,7 +8,7 @@
 import structlog
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
-from snipebay_control.core import RAFT_MESSAGES, ControlConfig, ControlCore
+from snipebay_control.core import ControlConfig, ControlCore
 from snipebay_control.membership import instance_of
 from snipebay_control.raft import RaftTiming
 from snipebay_control.sessions import LeaseTiming
@@ -17,7 +17,7 @@
 from snipebay_policy.routed import RoutedConfig, RoutedCore
 from snipebay_policy.work import Send
 
-from snipebay_node.action_loop import ActionLoop
+from snipebay_node.action_loop import CONTROL_MESSAGES, SIGNED_MESSAGES, ActionLoop
 from snipebay_node.change_log import ChangeLog
 from snipebay_node.dialect import Dialect
 from snipebay_node.forwarder import Forwarder
@@ -45,13 +45,6 @@
 STOP_ADMIT_S = 2.5
 # Least status of an answer that tells of a failure.
 HTTP_ERRORS = 400
-SIGNED_MESSAGES = (*RAFT_MESSAGES, messages.Hello)
-CONTROL_MESSAGES = (
-    *SIGNED_MESSAGES,
-    messages.CommandRequest,
-    messages.Renew,
-    messages.StatusRequest,
-)
 
 log = structlog.get_logger(__name__)
 
--- a/packages/snipebay-node/src/snipebay_node/steering.py
+++ b/packages/snipebay-node/src/snipebay_node/steering.py
@@ -7,6 +7,7 @@
 from snipebay_model import messages
 from snipebay_model.messages import WITHDRAWN, Outcome
 from snipebay_model.plan import PlanReading
+from snipebay_policy.action_queue import ActionQueue
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.work import Send
 
@@ -29,7 +30,7 @@
     sent_s: float
 
 
-class Steering:
+class Steering(ActionQueue):
     """Passes calls on to the leader, and their outcomes back.
 
     Each call takes ``done``, a function of an :class:`Outcome`, whose code is
@@ -41,9 +42,9 @@
     """
 
     def __init__(self, controls, clock):
+        super().__init__()
         self.clock = clock
         self.commands = CommandSystem(self, controls)
-        self._actions = []
         self._reads = {}
         self._ids = itertools.count(1)
 
@@ -74,15 +75,6 @@
 
     # --- inputs -----------------------------------------------------------
 
-    def act(self, action):
-        """Put an action into the queue for the adapter."""
-        self._actions.append(action)
-
-    def take_actions(self):
-        """Return the messages to send since the last call."""
-        actions, self._actions = self._actions, []
-        return actions
-
     def lead_by(self, leader, controls):
         """Take in who leads, and which control instances there are."""
         if leader:
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -5,7 +5,7 @@
 
 from snipebay_node.dialect import Dialect
 
-__all__ = ["UpstreamPool", "UpstreamRequest", "end_to_end"]
+__all__ = ["UpstreamPool", "UpstreamRequest", "end_to_end", "next_hop_headers"]
 
 IDLE_LIMIT_S = 20.0
 IDLE_MOST = 8
@@ -35,6 +35,20 @@
     return [(name, value) for name, value in headers if name.lower() not in drop]
 
 
+def next_hop_headers(exchange, replaced):
+    """Return the headers of a request that go on, with the length of its body.
+
+    Args:
+        exchange: The request as it came.
+        replaced: Names of headers that the next hop gets from us instead.
+    """
+    drop = (*replaced, b"content-length", b"expect")
+    headers = [(n, v) for n, v in end_to_end(exchange.headers) if n not in drop]
+    if exchange.body or exchange.method in ("POST", "PUT", "PATCH"):
+        headers.append((b"content-length", str(len(exchange.body)).encode()))
+    return headers
+
+
 @attrs.frozen
 class UpstreamRequest:
     """A request for a backend server."""
--- a/packages/snipebay-policy/src/snipebay_policy/context.py
+++ b/packages/snipebay-policy/src/snipebay_policy/context.py
@@ -9,6 +9,7 @@
 from snipebay_model.units import MBIT_BYTES
 from snipebay_model.view import View
 
+from snipebay_policy.action_queue import ActionQueue
 from snipebay_policy.budget import RetryBudget
 from snipebay_policy.health import HealthTable
 from snipebay_policy.lookup import BlockTable, EntryRanking
@@ -40,7 +41,7 @@
     claim_retry_s: float = 0.5
 
 
-class EntryContext:
+class EntryContext(ActionQueue):
     """Tables of one entry instance, brought forward by each new view.
 
     Args:
@@ -48,6 +49,7 @@
     """
 
     def __init__(self, cfg):
+        super().__init__()
         self.cfg = cfg
         self.entry_id = cfg.row.entry_id
         self.region = cfg.row.region
@@ -64,24 +66,12 @@
         # Backend servers that said they leave, with our revision at that time.
         self.leaving = {}
         self.floor = 0
-        self._actions = []
         self._rules = {}
         self._meters = {}
         self._ramps = {}
         self._budgets = {}
         self._links = {}
 
-    # --- actions ----------------------------------------------------------
-
-    def act(self, action):
-        """Put an action into the queue for the adapter."""
-        self._actions.append(action)
-
-    def take_actions(self):
-        """Return the actions since the last call."""
-        actions, self._actions = self._actions, []
-        return actions
-
     # --- view -------------------------------------------------------------
 
     def adopt(self, view, now_s):
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -151,6 +151,7 @@
         self._evacuated = frozenset()
         self._entries = ()
         self._ranks = {}
+        self._owners_of = {}
         self.objects = {}
 
     def adopt(self, view, now_s):
@@ -167,6 +168,7 @@
         self._by_service = by_service
         self._evacuated = frozenset(view.evacuated)
         self._entries = tuple(r.entry_id for r in view.entries if not r.leaving)
+        self._owners_of.clear()
 
     def usable(self, service, now_s):
         """Return the members of a service that may get requests, ejected ones last.
@@ -360,8 +362,10 @@
 
     def _owners(self, backend_id):
         """Return the entry instances that may use a cold backend server."""
-        ranked = sorted(self._entries, key=lambda i: rendezvous_rank(i, backend_id))
-        return ranked[:COLD_OWNERS]
+        if backend_id not in self._owners_of:
+            ranked = sorted(self._entries, key=lambda i: rendezvous_rank(i, backend_id))
+            self._owners_of[backend_id] = ranked[:COLD_OWNERS]
+        return self._owners_of[backend_id]
 
     def _next(self, member, row, now_s):
         """Return the member for a row, a new one for a new incarnation."""
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -132,7 +132,6 @@
         """Take note that a relayed answer has ended."""
         row = self._by_attempt.get(attempt_id)
         if row is not None:
-            self.ctx.counts["answered"] += 1
             self._forget(row)
             self.pump(row.service, now_s)
 
@@ -299,7 +298,6 @@
         self._by_attempt[attempt.attempt_id] = row
         patience_s = self.ctx.times(row.service).patience_s
         self.ctx.fleet.start(member, cold_per_s, now_s, patience_s)
-        self.ctx.counts["dispatched"] += 1
         reason = dispatch_reason(row, choice, self.ctx.view.revision, now_s)
         self.ctx.act(
             Dispatch(
@@ -333,7 +331,6 @@
         )
 
     def _repeat(self, row, now_s):
-        self.ctx.counts["retries"] += 1
         self._end_attempt(row)
         row.waits_since_s = now_s
         self.waiting.setdefault(row.service, {})[row.request_id] = row
@@ -347,7 +344,6 @@
             self.ctx.act(Cancel(attempt.attempt_id))
             if attempt.member.heard_s < attempt.started_s:
                 self._blame(attempt.member, now_s)
-        self.ctx.counts["timeouts"] += 1
         if row.relayed:
             self._forget(row)
         else:
@@ -361,16 +357,18 @@
             status = 502
         if row.request_id in self.rows:
             retry_after_s = self.rules.retry_after_s if status == 503 else None
-            self.ctx.counts[f"problem_{status}"] += 1
-            slots = self.ctx.fleet.capacity(row.service, row.arrived_s)
-            inputs = refusal_reason(row, slots, self.ctx.view.revision)
+            # One that was sent has its reason from then.
+            inputs = {} if row.attempts else self._refusal_reason(row)
             why = (status, reason, detail, retry_after_s, inputs)
             self.ctx.act(problem_of(row, *why))
         self._forget(row)
 
+    def _refusal_reason(self, row):
+        slots = self.ctx.fleet.capacity(row.service, row.arrived_s)
+        return refusal_reason(row, slots, self.ctx.view.revision)
+
     def _refuse(self, request_id, reason, detail):
         """Refuse a request for which no row was made."""
-        self.ctx.counts["refused"] += 1
         after_s = self.rules.retry_after_s
         self.ctx.act(Problem(request_id, 503, NOT_RUN, detail, after_s, reason))
 
--- a/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
@@ -16,52 +16,43 @@
     """
     member = choice.member
     return {
-        "route": row.route.name,
-        "kind": row.route.kind,
-        "service": row.service,
+        **_request_fields(row, revision),
         "target_s": row.route.target_latency_s,
         "backend": member.row.backend_id,
         "domain": member.row.domain,
-        "region_share": row.region,
         "load": round(member.load(now_s), 1),
         "slots": member.row.slots,
-        "object": row.key,
         "place": choice.place,
         "attempt": row.attempts,
         "waited_s": round(now_s - row.arrived_s, 3),
-        "revision": revision,
     }
 
 
 def refusal_reason(row, slots_by_region, revision):
-    """Return what decided on a request that ends, empty if it was sent before.
+    """Return what decided on a request that ends without having been sent.
 
     Args:
         row: The request.
         slots_by_region: Slots of the backend servers that could take it.
         revision: Revision of the view.
     """
-    if row.attempts:
-        return {}
-    return {
-        "route": row.route.name,
-        "region_share": row.region,
-        "object": row.key,
-        "slots_by_region": slots_by_region,
-        "revision": revision,
-    }
+    return {**_request_fields(row, revision), "slots_by_region": slots_by_region}
 
 
 def problem_of(row, status, reason, detail, retry_after_s, inputs):
     """Return what to tell the caller of a request that failed."""
+    outcome = UNKNOWN if row.may_have_run else NOT_RUN
     return Problem(
-        row.request_id,
-        status,
-        UNKNOWN if row.may_have_run else NOT_RUN,
-        detail,
-        retry_after_s,
-        reason,
-        row.service,
-        row.route.kind,
-        inputs,
+        row.request_id, status, outcome, detail, retry_after_s, reason, inputs
     )
+
+
+def _request_fields(row, revision):
+    return {
+        "route": row.route.name,
+        "kind": row.route.kind,
+        "service": row.service,
+        "region_share": row.region,
+        "object": row.key,
+        "revision": revision,
+    }
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -1,6 +1,5 @@
 """An entry instance that forwards by the traffic plan."""
 
-import collections
 import math
 
 import attrs
@@ -9,6 +8,7 @@
 from snipebay_model.plan import RequestLimits, RoutedService
 from snipebay_model.view import View
 
+from snipebay_policy.action_queue import ActionQueue
 from snipebay_policy.budget import RetryBudget
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.fleet import Fleet
@@ -54,7 +54,7 @@
     forward: ForwardRules = ForwardRules()
 
 
-class RoutedCore:
+class RoutedCore(ActionQueue):
     """Pure entry instance for routed requests.
 
     The adapter hands in what happens, then carries out :meth:`take_actions`.
@@ -65,13 +65,13 @@
     """
 
     def __init__(self, cfg, controls):
+        super().__init__()
         self.cfg = cfg
         self.row = cfg.row
         self.region = cfg.row.region
         self.view = View()
         self.table = None
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
-        self.counts = collections.Counter()
         self.commands = CommandSystem(self, controls)
         self.forward = ForwardSystem(self, cfg.forward)
         self._seeds = tuple(controls)
@@ -81,7 +81,6 @@
         self._times = {}
         self._budgets = {}
         self._needs = {}
-        self._actions = []
         self._notes = []
         self._noted_shares = {}
         self._next_renew_s = 0.0
@@ -105,10 +104,6 @@
     def is_idle(self):
         return not self.forward.rows
 
-    def act(self, action):
-        """Put an action into the queue for the adapter."""
-        self._actions.append(action)
-
     def note(self, event, subject, **fields):
         """Tell whoever runs us of a change in what we believe."""
         self._notes.append((event, subject, fields))
@@ -122,11 +117,6 @@
         """Return how long ago control last confirmed the view."""
         return now_s - self._answered_s
 
-    def take_actions(self):
-        """Return the actions since the last call."""
-        actions, self._actions = self._actions, []
-        return actions
-
     # --- inputs -----------------------------------------------------------
 
     def receive(self, sender, body, now_s):
--- a/packages/snipebay-policy/src/snipebay_policy/work.py
+++ b/packages/snipebay-policy/src/snipebay_policy/work.py
@@ -147,9 +147,8 @@
         detail: What a person should read.
         retry_after_s: When to come again, or None.
         reason: One word for metrics, from a fixed set.
-        service: Service that it was for, empty when that is not known.
-        kind: Kind of its route, empty when that is not known.
-        inputs: What decided, for the log.
+        inputs: What decided, for the log; empty when its route is not known, or
+            when its last :class:`Dispatch` tells.
     """
 
     request_id: int
@@ -158,8 +157,6 @@
     detail: str
     retry_after_s: int | None = None
     reason: str = ""
-    service: str = ""
-    kind: str = ""
     inputs: dict = attrs.Factory(dict)
 
 
