Read, log and export the rate limits that backend servers name

What callers saw: nothing; backend servers in need got up to three times what they asked for. Logs and metrics could not tell whether the limit was unknown, kept by each instance for itself, or forgotten at a restart. Each response's limit is now parsed (finite decimal numbers only, the smallest of several), recorded for its incarnation and logged when it is named, changed, ended or unusable; two metrics count limits and sum them.

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -6,6 +6,7 @@
 
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.log_sink import RequestLog
+from snipebay_node.rate_limit_header import parse_rate_limit
 from snipebay_node.upstream import (
     MISDIRECTED_REQUEST,
     UpstreamPool,
@@ -235,6 +236,7 @@
     def on_head(self, attempt_id, status, headers):
         self._responses[attempt_id] = _Response(status, headers)
         self._report_load(attempt_id, dict(headers))
+        self._report_rate_limit(attempt_id, headers)
 
     def on_data(self, attempt_id, data):
         response = self._responses.get(attempt_id)
@@ -266,14 +268,14 @@
         self.run_actions()
 
     def on_not_run(self, attempt_id, status, headers):
-        self._report_load(attempt_id, headers)
+        is_misdirected = status == MISDIRECTED_REQUEST
+        self._report_load(attempt_id, dict(headers))
+        if not is_misdirected:
+            self._report_rate_limit(attempt_id, headers)
         reason = f"the backend server refused it with {status}"
         self._log_failed_attempt(self._end_attempt(attempt_id, "not_run"), reason)
         self.core.forward.on_rejection(
-            attempt_id,
-            reason,
-            self.clock(),
-            is_misdirected=status == MISDIRECTED_REQUEST,
+            attempt_id, reason, self.clock(), is_misdirected=is_misdirected
         )
         self.run_actions()
 
@@ -307,6 +309,17 @@
             running, waiting = int(parts[0]), int(parts[1])
             self.core.forward.on_load_report(attempt_id, running, waiting, self.clock())
 
+    def _report_rate_limit(self, attempt_id, headers):
+        """Pass the rate limit that a backend server named, or did not, to the core."""
+        values = [v for name, v in headers if name == self.header_names.rate_limit]
+        try:
+            per_s = parse_rate_limit(values)
+        except ValueError as exc:
+            # The limit named before stays in force.
+            self.core.forward.on_invalid_rate_limit(attempt_id, str(exc))
+            return
+        self.core.forward.on_rate_limit(attempt_id, per_s, self.clock())
+
     def _resume_reading(self, key):
         request = self._active.get(key)
         if request is not None and request.relayed_attempt_id:
--- a/packages/snipebay-node/src/snipebay_node/header_names.py
+++ b/packages/snipebay-node/src/snipebay_node/header_names.py
@@ -15,6 +15,8 @@
         target: Id of the only backend server that may execute a request.
         not_run: Response header: the request was not executed.
         load: Response header: requests running, requests waiting, and slots.
+        rate_limit: Response header: requests per second that the backend server takes
+            from all instances together.
         affinity: Name of the cookie that holds the affinity key.
     """
 
@@ -23,4 +25,5 @@
     target: bytes = b""
     not_run: bytes = b"snipebay-shed"
     load: bytes = b""
+    rate_limit: bytes = b"snipebay-rate-limit"
     affinity: str = ""
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -42,6 +42,11 @@
         shares = _service_gauge(
             "region_share", "Share of requests by region.", "region"
         )
+        limits = _service_gauge("rate_limit", "Named limits, requests a second.")
+        limited = _service_gauge("rate_limited_backends", "Servers with a limit.")
+        for service, rows in entry.rate_limits_by_service().items():
+            limits.add_metric((service,), sum(row.per_s for row in rows))
+            limited.add_metric((service,), len(rows))
         for service, counts in entry.fleet.summary(now_s).items():
             for state, count in counts.slots.items():
                 slots.add_metric((service, state), count)
@@ -52,7 +57,7 @@
             waiting.add_metric((service,), waiting_count)
             for region, share in entry.shares(service).shares.items():
                 shares.add_metric((service, region), share)
-        yield from (slots, backends, budget, waiting, shares)
+        yield from (slots, backends, budget, waiting, shares, limits, limited)
 
     def _collect_control(self, control):
         raft = control.raft
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -302,7 +302,8 @@
         req, self.req = self.req, None
         self.pool.release(attempt_id)
         self._keep_or_close()
-        status, headers = self._response.status_code, dict(self._response.headers)
+        status = self._response.status_code
+        headers = [(bytes(n), bytes(v)) for n, v in self._response.headers]
         if self._is_not_run:
             listener.on_not_run(attempt_id, status, headers)
             return
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -106,6 +106,19 @@
         if row is not None and row.attempt is not None:
             row.attempt.member.update_load(running, waiting, now_s)
 
+    def on_rate_limit(self, attempt_id, per_s, now_s):
+        """Record the rate limit that a response named, None if it named none."""
+        row = self._rows_by_attempt.get(attempt_id)
+        if row is not None and row.attempt is not None:
+            self.ctx.rate_limits.record(row.attempt.member.row, per_s, now_s)
+
+    def on_invalid_rate_limit(self, attempt_id, detail):
+        """Log a rate limit that can't be read."""
+        row = self._rows_by_attempt.get(attempt_id)
+        if row is not None and row.attempt is not None:
+            backend_id = _backend_id(row.attempt.member)
+            self.ctx.record_event("invalid rate limit", backend_id, detail=detail)
+
     def on_response(self, attempt_id, status, now_s):
         """Handle a complete response, or the head of a streamed one: relay or retry."""
         row = self._rows_by_attempt.get(attempt_id)
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -15,6 +15,7 @@
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.forward import ForwardSystem
 from snipebay_policy.forward_rows import ForwardRules
+from snipebay_policy.rate_limits import RateLimitTable
 from snipebay_policy.region_shares import RegionShares
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_times import ServiceTimes
@@ -68,6 +69,7 @@
         view: Newest :class:`View` received.
         table: :class:`RouteTable` of the plan in force, or None.
         fleet: Backend servers.
+        rate_limits: Rate limits that backend servers have named.
         commands: Commands to control.
         forward: Requests.
     """
@@ -80,6 +82,7 @@
         self.view = View()
         self.table = None
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
+        self.rate_limits = RateLimitTable(self.record_event)
         self.commands = CommandSystem(self, controls)
         self.forward = ForwardSystem(self, cfg.forward)
         self._seeds = tuple(controls)
@@ -143,6 +146,7 @@
         if now_s >= self._next_share_update_s:
             self._next_share_update_s = now_s + self.cfg.share_update_interval_s
             self._sample_needs(now_s)
+            self.rate_limits.tick(now_s)
             for table in self.fleet.affinity.values():
                 table.refresh(now_s)
             self._update_shares(now_s)
@@ -216,6 +220,16 @@
             self._budgets[service] = RetryBudget(ratio, self._max_retry_credit())
         return self._budgets[service]
 
+    def rate_limits_by_service(self):
+        """Return the rate limits in force, by service of the plan."""
+        services = self.table.services if self.table else ()
+        found = {service: [] for service in services}
+        for limit in self.rate_limits:
+            if not limit.is_ended:
+                service = self.fleet.members[limit.backend_id].row.service
+                found.setdefault(service, []).append(limit)
+        return found
+
     def _max_retry_credit(self):
         """Return this instance's part of the retries allowed beyond the ratio."""
         slack = self.cfg.forward.retry_slack
@@ -298,6 +312,7 @@
         for budget in self._budgets.values():
             budget.max_credit = self._max_retry_credit()
         self.fleet.apply_view(view, now_s)
+        self.rate_limits.apply_view(view)
         self._update_shares(now_s)
         # Report the new revision at once: operators see from it what is in force.
         self._renew(now_s)
--- a/packages/snipebay-testbed/src/snipebay_testbed/forwarder_case.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/forwarder_case.py
@@ -17,7 +17,12 @@
 __all__ = ["HEADER_NAMES", "RESPONSE", "ForwarderCase"]
 
 HEADER_NAMES = HeaderNames(
-    request_id=b"id", target=b"only", not_run=b"not-run", load=b"load", affinity="key"
+    request_id=b"id",
+    target=b"only",
+    not_run=b"not-run",
+    load=b"load",
+    rate_limit=b"limit",
+    affinity="key",
 )
 RESPONSE = b"HTTP/1.1 200 OK\r\nId: 7\r\nSigned: yes\r\nContent-Length: 2\r\n\r\nhi"
 
