Failing test: limits of backend servers are exceeded by all instances together

Real control and routed cores in virtual time: 12 instances, 12 backend servers, 9 of which name a limit. On this code one that names 0.5 a second gets 63 requests in 4 s; the rule allows 8.

--- /dev/null
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
@@ -0,0 +1,347 @@
+"""Harness that runs entry instances with a traffic plan in virtual time, on fakes."""
+
+import collections
+import itertools
+
+import attrs
+from snipebay_control.core import ControlConfig
+from snipebay_control.sessions import LeaseTiming
+from snipebay_model.messages import ApplyPlan, PutBackend
+from snipebay_model.plan import Plan, Route, RoutedService
+from snipebay_model.view import BackendRow, EntryRow
+from snipebay_policy.forward_rows import ForwardRules
+from snipebay_policy.routed import RoutedConfig, RoutedCore
+from snipebay_policy.work import Cancel, Dispatch, Problem, Relay, Send
+
+from snipebay_testbed.control_rig import ControlRig
+
+__all__ = ["LimitedBackend", "RoutedHost", "RoutedRig"]
+
+TICK_S = 0.05
+REGIONS = ("a", "b", "c")
+DOMAINS_PER_REGION = 2
+REGION_DELAY_S = 0.035
+DOMAIN_DELAY_S = 0.003
+HOST, PREFIX, SERVICE = "a.example", "/a/", "s"
+SERVICE_S = 0.2
+SLOTS = 4
+QUEUE_LIMIT = 4
+BACKEND_LEASE_S = 1e6
+
+
+@attrs.define(eq=False)
+class LimitedBackend:
+    """A backend server with slots that may name a rate limit.
+
+    Attributes:
+        row: Its row in the view.
+        rig: Harness that it belongs to.
+        limit_per_s: Limit in its responses, None for none.
+        arrivals: Pairs of time and id of the sending instance.
+        running: Attempts that occupy a slot.
+        queue: Attempts that wait for one.
+    """
+
+    row: BackendRow
+    rig: object
+    limit_per_s: float | None = None
+    arrivals: list = attrs.Factory(list)
+    running: set = attrs.Factory(set)
+    queue: list = attrs.Factory(list)
+
+    def receive(self, attempt):
+        """Queue an arriving request, or reject it."""
+        self.arrivals.append((self.rig.now_s, attempt.host.id))
+        if len(self.queue) >= QUEUE_LIMIT:
+            attempt.host.respond(attempt, self, is_rejected=True)
+            return
+        self.queue.append(attempt)
+        self._start_queued()
+
+    def cancel(self, attempt):
+        """Drop a cancelled request."""
+        self.running.discard(attempt)
+        if attempt in self.queue:
+            self.queue.remove(attempt)
+        self._start_queued()
+
+    def largest_window(self, from_s, window_s=4.0, but=()):
+        """Return the largest number of arrivals in any window that starts later.
+
+        Args:
+            from_s: Start of the first window.
+            window_s: Length of the windows.
+            but: Ids of instances whose requests are not counted.
+        """
+        times = [at_s for at_s, host_id in self.arrivals if host_id not in but]
+        times = [at_s for at_s in times if at_s >= from_s]
+        return max(
+            (sum(0 <= at_s - first < window_s for at_s in times) for first in times),
+            default=0,
+        )
+
+    def _start_queued(self):
+        while self.queue and len(self.running) < self.row.slots:
+            attempt = self.queue.pop(0)
+            self.running.add(attempt)
+            spread = 0.5 + float(self.rig.rng.random())
+            self.rig.scheduler.after(SERVICE_S * spread, self._end, attempt)
+
+    def _end(self, attempt):
+        if attempt in self.running:
+            self.running.discard(attempt)
+            attempt.host.respond(attempt, self)
+            self._start_queued()
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    """A request on its way to a backend server."""
+
+    attempt_id: int
+    request_id: int
+    host: object
+    backend: LimitedBackend
+
+
+class RoutedHost:
+    """One entry instance: a core and the state of its process.
+
+    Args:
+        rig: Harness that it belongs to.
+        row: Row that it announces to control.
+
+    Attributes:
+        core: Core of the running process, or None while it is stopped.
+        frozen: True while the process is suspended.
+        refusals: Problems that its callers received.
+        answered: Number of requests with a complete response.
+    """
+
+    def __init__(self, rig, row):
+        self.rig = rig
+        self.row = row
+        self.core = None
+        self.frozen = False
+        self.refusals = []
+        self.answered = 0
+        self._deferred = []
+        self._attempts = {}
+        self._start_count = 0
+
+    @property
+    def id(self):
+        return self.row.entry_id
+
+    def start(self):
+        """Start the process, with a new incarnation."""
+        self._start_count += 1
+        row = attrs.evolve(self.row, incarnation=f"run{self._start_count}")
+        cfg = RoutedConfig(row, forward=ForwardRules(retry_slack=0.0))
+        self.core = RoutedCore(cfg, tuple(self.rig.control.hosts))
+        self.rig.network.receivers[self.id] = self._receive
+        self._tick(self._start_count)
+
+    def kill(self):
+        """Stop the process at once."""
+        self.core = None
+        self.rig.network.receivers.pop(self.id, None)
+        for attempt in self._attempts.values():
+            attempt.backend.cancel(attempt)
+        self._attempts.clear()
+
+    def freeze(self):
+        """Suspend the process; events for it are held back."""
+        self.frozen = True
+
+    def thaw(self):
+        """Resume the process and run the events held back."""
+        self.frozen = False
+        deferred, self._deferred = self._deferred, []
+        for callback, args in deferred:
+            self.run(callback, *args)
+
+    def run(self, callback, *args):
+        """Run a callback in the process, after ``thaw`` if it is suspended."""
+        if self.core is None:
+            return
+        if self.frozen:
+            self._deferred.append((callback, args))
+            return
+        callback(*args)
+        self._run_actions()
+
+    def request(self, timeout_s=2.5):
+        """Send a request as a caller."""
+        request_id = next(self.rig.ids)
+        self.run(
+            lambda: self.core.forward.on_request(
+                request_id, HOST, PREFIX, timeout_s, self.rig.now_s
+            )
+        )
+
+    def respond(self, attempt, backend, *, is_rejected=False):
+        """Deliver a backend server's response after the delay of the link."""
+        said = (backend.limit_per_s, len(backend.running), len(backend.queue))
+        delay_s = self.rig.delay_s(self.row.domain, backend.row.domain)
+        callback = self._on_response
+        self.rig.scheduler.after(
+            delay_s, self.run, callback, attempt, said, is_rejected
+        )
+
+    def _receive(self, sender, body):
+        self.run(lambda: self.core.receive(sender, body, self.rig.now_s))
+
+    def _tick(self, start_number):
+        if start_number != self._start_count or self.core is None:
+            return
+        if not self.frozen:
+            self.core.tick(self.rig.now_s)
+            self._run_actions()
+        self.rig.scheduler.after(TICK_S, self._tick, start_number)
+
+    def _run_actions(self):
+        while self.core is not None and (actions := self.core.pop_actions()):
+            for action in actions:
+                self._execute(action)
+
+    def _execute(self, action):
+        match action:
+            case Send():
+                self.rig.network.send(self.id, action.target, action.body)
+            case Dispatch():
+                self._dispatch(action)
+            case Cancel():
+                attempt = self._attempts.pop(action.attempt_id, None)
+                if attempt is not None:
+                    attempt.backend.cancel(attempt)
+            case Problem():
+                self.refusals.append((self.rig.now_s, action))
+            case Relay():
+                pass
+
+    def _dispatch(self, action):
+        backend = self.rig.backends[action.backend.backend_id]
+        attempt = _Attempt(action.attempt_id, action.request_id, self, backend)
+        if self.core.forward.may_write(action.attempt_id, self.rig.now_s):
+            self._attempts[action.attempt_id] = attempt
+            delay_s = self.rig.delay_s(self.row.domain, backend.row.domain)
+            self.rig.scheduler.after(delay_s, backend.receive, attempt)
+
+    def _on_response(self, attempt, said, is_rejected):
+        if self._attempts.pop(attempt.attempt_id, None) is None:
+            return
+        forward, now_s = self.core.forward, self.rig.now_s
+        limit_per_s, running, waiting = said
+        forward.on_load_report(attempt.attempt_id, running, waiting, now_s)
+        forward.on_rate_limit(attempt.attempt_id, limit_per_s, now_s)
+        if is_rejected:
+            forward.on_rejection(attempt.attempt_id, "full", now_s)
+            return
+        forward.on_response(attempt.attempt_id, 200, now_s)
+        forward.on_response_end(attempt.attempt_id, now_s)
+        self.answered += 1
+
+
+class RoutedRig:
+    """A deployment of control and entry instances with one service.
+
+    Args:
+        entries: Number of entry instances, over three regions of two domains.
+        backends: Number of backend servers, spread likewise.
+        seed: Random seed.
+    """
+
+    def __init__(self, entries, backends, seed):
+        ids = ("c1", "c2", "c3")
+        leases = LeaseTiming(
+            completion_grace_s=0.0,
+            backend_lease_s=BACKEND_LEASE_S,
+            needs_live_peer=False,
+        )
+        cfg = ControlConfig("", ids, leases=leases)
+        self.control = ControlRig(seed, 3, cfg=cfg)
+        self.scheduler = self.control.scheduler
+        self.network = self.control.network
+        self.rng = self.control.rng
+        self.ids = itertools.count(1)
+        self._domains = {}
+        self.entries = [
+            RoutedHost(self, self._entry_row(number)) for number in range(entries)
+        ]
+        rows = [self._backend_row(number) for number in range(backends)]
+        self.backends = {row.backend_id: LimitedBackend(row, self) for row in rows}
+        self.network.delay_s = lambda a, b: self.delay_s(
+            self._domains.get(a, "a-0"), self._domains.get(b, "a-0")
+        )
+
+    @property
+    def now_s(self):
+        return self.scheduler.now_s
+
+    def start(self):
+        """Start the deployment, wait until all instances have the plan, return self."""
+        self.control.elect()
+        route = Route("r", HOST, PREFIX, True, 2.0, 0.8, 1, ((SERVICE, 1.0),), 2)
+        plan = Plan(1, (route,), (RoutedService(SERVICE, max_connections=4_000),))
+        assert self.control.call(ApplyPlan("d", 0, plan)).code == "ok"
+        for backend in self.backends.values():
+            self.control.call(PutBackend(backend.row))
+        for host in self.entries:
+            host.start()
+        self.scheduler.run_for(3.0)
+        assert all(host.core.is_ready for host in self.entries)
+        return self
+
+    def offer_load(self, per_s, seconds, hosts=None):
+        """Schedule requests with Poisson arrivals at random entry instances."""
+        end_s = self.now_s + seconds
+        hosts = hosts or self.entries
+
+        def arrive():
+            if self.now_s >= end_s:
+                return
+            hosts[int(self.rng.integers(len(hosts)))].request()
+            self.scheduler.after(float(self.rng.exponential(1 / per_s)), arrive)
+
+        self.scheduler.after(float(self.rng.exponential(1 / per_s)), arrive)
+
+    def name_limits(self, per_s, share=1.0):
+        """Let a share of the backend servers name a limit, None for none."""
+        count = round(share * len(self.backends))
+        named = list(itertools.islice(self.backends.values(), count))
+        for backend in named:
+            backend.limit_per_s = per_s
+        return named
+
+    def count_refusals(self, from_s=0.0):
+        """Return the number of refusals by reason."""
+        return collections.Counter(
+            problem.reason
+            for host in self.entries
+            for at_s, problem in host.refusals
+            if at_s >= from_s
+        )
+
+    def delay_s(self, source, target):
+        """Return the one-way delay between two failure domains."""
+        if source == target:
+            return DOMAIN_DELAY_S / 10
+        return DOMAIN_DELAY_S if source[0] == target[0] else REGION_DELAY_S
+
+    def _entry_row(self, number):
+        domain = self._domain(number)
+        self._domains[f"e{number}"] = domain
+        address = f"10.0.0.{number}:80"
+        return EntryRow(f"e{number}", "", address, f"e{number}", domain[0], domain)
+
+    def _backend_row(self, number):
+        domain = self._domain(number)
+        address = f"10.0.1.{number}:80"
+        return BackendRow(
+            f"i{number}", SERVICE, address, domain[0], domain, SLOTS, born_ms=1
+        )
+
+    def _domain(self, number):
+        region = REGIONS[number % len(REGIONS)]
+        return f"{region}-{number // len(REGIONS) % DOMAINS_PER_REGION}"
