Keep backend servers' rate limits by permits of one owner each

What callers saw: nothing at first; the backend servers that had asked for less got two to twelve times what they named, with the danger that they fail altogether. For the cold rate three fixed owners keep it; nothing did for this one. Change: one entry instance owns each limited backend server and grants a permit for each request. Instances report limits with renewals, the leader hands them to all, so a started process knows them before its first request. Limits end and come back gradually; requests beyond them are refused at once with the time of the next permit. Region shares count limited servers with what they may take. forward.py and fleet.py were split (dispatch_queue.py, affinity_tiers.py).

--- a/packages/snipebay-cli/src/snipebay_cli/explain.py
+++ b/packages/snipebay-cli/src/snipebay_cli/explain.py
@@ -80,6 +80,8 @@
             f"unsent: {outcome}{capacity}"
         )
     load = f"load {end.get('load')} of {end.get('slots')} slots when it was sent"
+    if "rate_limit" in end:
+        load += f", rate limit {end['rate_limit']} a second over all instances"
     if not status:
         return (
             f"{instance} ended it without an answer {duration}: {outcome}; "
@@ -98,5 +100,12 @@
         return ""
     if not slots:
         return f"; no backend server of {service} was in view"
-    counts = ", ".join(f"{count} in {region}" for region, count in slots.items())
-    return f"; {service} had slots: {counts}; wanted region {end.get('region_share')}"
+    counts = ", ".join(f"{count:g} in {region}" for region, count in slots.items())
+    limits = ""
+    if "rate_limited" in end:
+        limits = (
+            f"; {end['rate_limited']} of its backend servers named rate limits, "
+            f"{end.get('rate_limit')} a second together"
+        )
+    region = end.get("region_share")
+    return f"; {service} had slots: {counts}; wanted region {region}{limits}"
--- a/packages/snipebay-cli/tests/test_explain.py
+++ b/packages/snipebay-cli/tests/test_explain.py
@@ -46,6 +46,12 @@
         self.assertIn("no backend server of s was in view", explain(row).cause)
         row["slots_by_region"] = {"a": 8, "b": 4}
         self.assertIn("s had slots: 8 in a, 4 in b; wanted", explain(row).cause)
+        row |= {"rate_limited": 2, "rate_limit": 7.5}
+        self.assertIn("2 of its backend servers named rate limits", explain(row).cause)
+
+    def test_rate_limit_of_the_backend_server_is_named(self):
+        cause = explain({**ENDED, "status": 502, "outcome": "x", "rate_limit": 4.2})
+        self.assertIn("rate limit 4.2 a second", cause.cause)
 
     def test_failed_after_it_was_sent(self):
         cause = explain(
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -25,6 +25,7 @@
 from snipebay_control.joining import JoinProtocol
 from snipebay_control.membership import instance_id_of
 from snipebay_control.raft import Raft, RaftTiming
+from snipebay_control.rate_limit_board import RateLimitBoard
 from snipebay_control.sessions import LeaseTiming, Sessions
 from snipebay_control.state import ControlState
 from snipebay_control.telemetry import Telemetry
@@ -105,6 +106,7 @@
         self._leadership_term = 0
         self._outbox = []
         self.telemetry = Telemetry()
+        self.rate_limits = RateLimitBoard()
         self._pending_replies = {}
         self._proposed_commands = set()
         self.joining = JoinProtocol(cfg, self.raft)
@@ -156,6 +158,7 @@
         self._settled_by_region = {}
         self._drained = self.sessions.drained(self.state, now_s)
         self._demand = self.sessions.demand(self.state)
+        self.rate_limits.expire(self.state.backends, self._now_s)
         self._update_backend_leases()
         self._remove_expired()
         self._advance_clock()
@@ -224,6 +227,7 @@
         self._settled_by_region = {}
         self._drained = ()
         self._next_clock_s = 0.0
+        self.rate_limits.start(self.raft.term)
         self.sessions.start(self.state, self._now_s)
 
     def _update_backend_leases(self):
@@ -286,6 +290,7 @@
             reply = RenewReply(self.leader_id, granted=False, controls=self.controls)
             self._outbox.append((sender, reply))
             return
+        self.rate_limits.merge(msg.rate_limits, self.state.backends, self._now_s)
         row = self.state.entries.get(msg.row.entry_id)
         known = row is not None and row.incarnation == msg.row.incarnation
         if known:
@@ -297,7 +302,14 @@
         reply = self._renew_reply(
             msg.row.region, msg.applied, granted=known, sent_ms=msg.sent_ms
         )
-        self._outbox.append((sender, attrs.evolve(reply, refused=refused)))
+        limits = self.rate_limits.reports(msg.rate_limits_version, self._now_s)
+        reply = attrs.evolve(
+            reply,
+            refused=refused,
+            rate_limits=limits,
+            rate_limits_version=self.rate_limits.version,
+        )
+        self._outbox.append((sender, reply))
 
     def _id_conflict(self, old, row):
         """Return why an instance id can't be used by a row, or an empty string."""
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -48,6 +48,7 @@
 # looked up other instances, and requests accepted earlier can still complete.
 SHUTDOWN_ACCEPT_S = 2.5
 MIN_ERROR_STATUS = 400
+ENTRY_MESSAGES = (messages.RenewReply, messages.PermitRequest, messages.PermitReply)
 
 log = structlog.get_logger(__name__)
 
@@ -224,7 +225,7 @@
         if isinstance(body, CONTROL_MESSAGES):
             if self.control is not None:
                 self.control.receive(sender, body, now_s)
-        elif isinstance(body, messages.RenewReply):
+        elif isinstance(body, ENTRY_MESSAGES):
             if self.entry is not None:
                 self.entry.receive(sender, body, now_s)
         else:
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -1,6 +1,6 @@
 """Metrics computed from the state of the cores at each scrape."""
 
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 __all__ = ["StateCollector"]
 
@@ -44,20 +44,38 @@
         )
         limits = _service_gauge("rate_limit", "Named limits, requests a second.")
         limited = _service_gauge("rate_limited_backends", "Servers with a limit.")
+        owned = _service_gauge("rate_limit_owned", "The part granted by this one.")
+        permits = CounterMetricFamily(
+            "snipebay_permits", "Permits decided here.", labels=("outcome",)
+        )
         for service, rows in entry.rate_limits_by_service().items():
             limits.add_metric((service,), sum(row.per_s for row in rows))
             limited.add_metric((service,), len(rows))
+            own_rows = (row for row in rows if entry.owns(row.backend_id))
+            owned.add_metric((service,), sum(row.per_s for row in own_rows))
+        for outcome, count in entry.forward.queue.permits.counts.items():
+            permits.add_metric((outcome,), count)
         for service, counts in entry.fleet.summary(now_s).items():
             for state, count in counts.slots.items():
                 slots.add_metric((service, state), count)
             for state, count in counts.members.items():
                 backends.add_metric((service, state), count)
             budget.add_metric((service,), entry.budget(service).credit)
-            waiting_count = len(entry.forward.waiting.get(service, ()))
+            waiting_count = len(entry.forward.queue.waiting.get(service, ()))
             waiting.add_metric((service,), waiting_count)
             for region, share in entry.shares(service).shares.items():
                 shares.add_metric((service, region), share)
-        yield from (slots, backends, budget, waiting, shares, limits, limited)
+        yield from (
+            slots,
+            backends,
+            budget,
+            waiting,
+            shares,
+            limits,
+            limited,
+            owned,
+            permits,
+        )
 
     def _collect_control(self, control):
         raft = control.raft
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/affinity_tiers.py
@@ -0,0 +1,69 @@
+"""Affinity tiers of backend servers for the keys of requests."""
+
+import collections
+
+from snipebay_policy.service_times import PRIMARY, SECONDARY
+from snipebay_policy.slot_assignment import rendezvous_rank
+
+__all__ = ["AffinityTiers"]
+
+# Keys whose order of backend servers is cached, so that it is hashed only once.
+MAX_RANKED_KEYS = 4_096
+# Recently used keys whose data a backend server is assumed to have cached; in a trace,
+# responses slowed down from the fifteenth key on.
+CACHED_KEYS = 12
+
+
+class AffinityTiers:
+    """Primary and secondary backend servers of each key, by rendezvous hashing.
+
+    Args:
+        domain: Failure domain of this instance.
+    """
+
+    def __init__(self, domain):
+        self.domain = domain
+        self._ranks = {}
+
+    def clear(self):
+        """Forget the cached hashes, after members were removed."""
+        self._ranks.clear()
+
+    def find(self, service, members, key, key_count):
+        """Return affinity tiers for a key, by id, of members of one region.
+
+        A failure domain with enough members to cache all keys has a primary of its
+        own for each key, which avoids traffic between failure domains; the other
+        domains share the first primary of the region. The primaries of other failure
+        domains are secondary: they have the key's data cached as well, so a request
+        there displaces no other data.
+
+        Args:
+            service: Service of the members.
+            members: Members of one region.
+            key: Affinity key.
+            key_count: Number of keys that are used recently.
+        """
+        ranked = self._ranked(service, members, key)
+        counts = collections.Counter(m.row.domain for m in ranked)
+        primaries = {}
+        for member in ranked:
+            domain = member.row.domain
+            if counts[domain] * CACHED_KEYS >= key_count:
+                primaries.setdefault(domain, member.row.backend_id)
+        ids = [m.row.backend_id for m in ranked]
+        primary = primaries.get(self.domain) or next(iter(ids), None)
+        secondaries = [i for i in primaries.values() if i != primary]
+        secondaries = secondaries or [i for i in ids if i != primary][:1]
+        return {**dict.fromkeys(secondaries, SECONDARY), primary: PRIMARY}
+
+    def _ranked(self, service, members, key):
+        """Return members by rendezvous hash of a key, in the same order everywhere."""
+        if len(self._ranks) > MAX_RANKED_KEYS:
+            self._ranks.clear()
+        ranks = self._ranks.setdefault((service, key), {})
+        for member in members:
+            name = member.row.backend_id
+            if name not in ranks:
+                ranks[name] = rendezvous_rank(key, name)
+        return sorted(members, key=lambda m: ranks[m.row.backend_id])
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -0,0 +1,178 @@
+"""Requests that wait for a backend server, in the order in which they are served."""
+
+import itertools
+
+from snipebay_policy.forward_reasons import dispatch_reason
+from snipebay_policy.forward_rows import ForwardAttempt
+from snipebay_policy.permits import Permission, PermitSystem
+from snipebay_policy.service_times import PRIMARY
+from snipebay_policy.work import Dispatch
+
+__all__ = ["DispatchQueue"]
+
+
+class DispatchQueue:
+    """Chooses backend servers for waiting requests.
+
+    Args:
+        ctx: :class:`RoutedCore` with the tables of this entry instance.
+        rules: Rules for all routes.
+        fail_request: Function of request, status, reason, detail and delay before a
+            retry, which ends a request that is not dispatched.
+
+    Attributes:
+        waiting: Requests that wait for a slot or a permit, by service and id.
+        rows_by_attempt: Requests that were dispatched, by id of the attempt.
+        permits: Permits for backend servers with a rate limit.
+    """
+
+    def __init__(self, ctx, rules, fail_request):
+        self.ctx = ctx
+        self.rules = rules
+        self.waiting = {}
+        self.rows_by_attempt = {}
+        self.permits = PermitSystem(ctx, self._on_permit)
+        self._fail_request = fail_request
+        self._attempt_ids = itertools.count(1)
+
+    def add(self, row):
+        """Add a request, without dispatching it."""
+        self.waiting.setdefault(row.service, {})[row.request_id] = row
+
+    def remove(self, row):
+        """Remove a request if it waits."""
+        self.waiting.get(row.service, {}).pop(row.request_id, None)
+
+    def tick(self, now_s):
+        """Dispatch the waiting requests of all services."""
+        self.permits.tick(now_s)
+        for service in list(self.waiting):
+            self.dispatch_waiting(service, now_s)
+
+    def dispatch_waiting(self, service, now_s):
+        """Dispatch waiting requests to free slots; refuse those that wait too long."""
+        waiting = self.waiting.get(service)
+        if not waiting:
+            return
+        for row in sorted(waiting.values(), key=_queue_order):
+            if row.needs_permit or self.try_dispatch(row, now_s):
+                continue
+            end_s = self._queue_end_s(row)
+            permit_due_s = self._permit_due_s(row, now_s)
+            if permit_due_s > end_s:
+                detail = "all backend servers are at their rate limits"
+                after_s = max(permit_due_s - now_s, self.rules.retry_after_s)
+                self._fail_request(row, 503, "rate_limited", detail, after_s)
+            elif now_s >= end_s:
+                self._fail_request(row, 503, "no_room", "no backend server has room")
+
+    def try_dispatch(self, row, now_s):
+        """Return True when a request was dispatched or waits for its permit."""
+        if now_s >= row.deadline_s:
+            return False
+        service = self.ctx.service(row.service)
+        for region in self._regions(row):
+            choice = self.ctx.fleet.choose(
+                row.service,
+                region,
+                now_s,
+                key=row.key,
+                times=self.ctx.times(row.service),
+                target_s=row.route.target_latency_s,
+                exclude=row.excluded_backends,
+                is_closed=self.permits.is_closed,
+                avoid_domains=row.avoid_domains,
+                cold_per_s=service.cold_per_s,
+                connections=service.max_connections,
+            )
+            if choice is None:
+                continue
+            if region != row.region and not self._acquire_spill(row):
+                return False
+            permission = self.permits.acquire(row, choice, now_s)
+            if permission is Permission.DENIED:
+                return self.try_dispatch(row, now_s)
+            row.needs_permit = permission is Permission.PENDING
+            if permission is Permission.GRANTED:
+                self._dispatch(row, choice, now_s)
+            return True
+        return False
+
+    def _on_permit(self, row, choice, permission, now_s):
+        """Handle the decision on a permit that a request waits for."""
+        row.needs_permit = False
+        if row.request_id not in self.waiting.get(row.service, {}):
+            # Its caller has left, or its deadline has passed.
+            return
+        if permission is Permission.GRANTED:
+            self._dispatch(row, choice, now_s)
+        else:
+            self.dispatch_waiting(row.service, now_s)
+
+    def _queue_end_s(self, row):
+        wait_s = row.route.target_latency_s * self.rules.queue_wait_share
+        return min(
+            row.waiting_since_s + wait_s, row.deadline_s - self.rules.min_attempt_s
+        )
+
+    def _permit_due_s(self, row, now_s):
+        """Return when any backend server of the request's region may take it."""
+        members = (
+            member
+            for member in self.ctx.fleet.usable(row.service, now_s)
+            if row.region in (None, member.row.region)
+        )
+        due_s = (self.permits.due_s(m.row.backend_id, PRIMARY, now_s) for m in members)
+        return min(due_s, default=now_s)
+
+    def _regions(self, row):
+        """Return the regions to try, the one assigned to the request first."""
+        allowed = row.route.allowed_regions
+        known = self.ctx.shares(row.service).regions(allowed)
+        others = sorted(known, key=lambda r: (r != self.ctx.region, r))
+        regions = dict.fromkeys((row.region, *others))
+        return [r for r in regions if r]
+
+    def _acquire_spill(self, row):
+        """Return True when a request may leave its region, and count it if it does.
+
+        Retries, and requests without an assigned region, are not counted.
+        """
+        meter = self.ctx.spill_meter(row.service)
+        if row.region is None or row.attempt_count:
+            return True
+        if not meter.may_shift:
+            return False
+        meter.count_shift()
+        return True
+
+    def _dispatch(self, row, choice, now_s):
+        self.remove(row)
+        member = choice.member
+        found_slot = member.load(now_s) + 1 <= member.row.slots
+        attempt = ForwardAttempt(
+            next(self._attempt_ids), member, now_s, found_slot, choice.tier
+        )
+        row.attempt = attempt
+        row.attempt_count += 1
+        row.excluded_backends.add(member.row.backend_id)
+        self.rows_by_attempt[attempt.attempt_id] = row
+        cold_per_s = self.ctx.service(row.service).cold_per_s
+        stall_timeout_s = self.ctx.times(row.service).stall_timeout_s
+        self.ctx.fleet.begin_request(member, cold_per_s, now_s, stall_timeout_s)
+        limit = self.ctx.rate_limits.get(member.row.backend_id)
+        reason = dispatch_reason(row, choice, self.ctx.view.revision, now_s, limit)
+        self.ctx.queue_action(
+            Dispatch(
+                row.request_id,
+                attempt.attempt_id,
+                member.row,
+                row.deadline_s,
+                reason,
+            )
+        )
+
+
+def _queue_order(row):
+    """Return the sort key of a waiting request: priority, then arrival."""
+    return row.route.priority, row.arrived_s, row.request_id
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from snipebay_policy.service_times import OTHER, PRIMARY, SECONDARY
+from snipebay_policy.affinity_tiers import AffinityTiers
+from snipebay_policy.service_times import OTHER, PRIMARY
 from snipebay_policy.slot_assignment import rendezvous_rank
 
 __all__ = ["Choice", "Fleet", "FleetCounts", "FleetTiming", "Member"]
@@ -34,12 +35,6 @@
 COLD_OWNERS = 3
 COLD_RATE_SHARE = 0.15
 
-# Keys whose order of backend servers is cached, so that it is hashed only once.
-MAX_RANKED_KEYS = 4_096
-# Recently used keys whose data a backend server is assumed to have cached; in a trace,
-# responses slowed down from the fifteenth key on.
-CACHED_KEYS = 12
-
 
 @attrs.frozen
 class FleetTiming:
@@ -141,6 +136,9 @@
     Attributes:
         members: :class:`Member` by id.
         affinity: :class:`AffinityTable` by service.
+        tiers: Affinity tiers of the members.
+        rate_shares: Share of its full rate that a member may use, by id of those with
+            a rate limit.
     """
 
     def __init__(self, entry_id, region, domain, timing=None):
@@ -152,9 +150,10 @@
         self._by_service = {}
         self._evacuated = frozenset()
         self._entries = ()
-        self._ranks = {}
         self._cold_owners = {}
         self.affinity = {}
+        self.rate_shares = {}
+        self.tiers = AffinityTiers(domain)
 
     def apply_view(self, view, now_s):
         """Replace the table's contents by a view; known members keep their state."""
@@ -165,7 +164,7 @@
             members[row.backend_id] = member
             by_service.setdefault(row.service, []).append(member)
         if self.members.keys() - members.keys():
-            self._ranks.clear()
+            self.tiers.clear()
         self.members = members
         self._by_service = by_service
         self._evacuated = frozenset(view.evacuated)
@@ -182,13 +181,32 @@
         return healthy or sorted(found, key=lambda m: m.ejected_until_s)[:1]
 
     def capacity(self, service, now_s):
-        """Return the slots of usable members by region."""
+        """Return the slots of usable members by region.
+
+        A member with a rate limit counts with the slots that its rate can fill.
+        """
         slots = {}
         for member in self.usable(service, now_s):
             region = member.row.region
-            slots[region] = slots.get(region, 0) + member.row.slots
+            share = self.rate_shares.get(member.row.backend_id, 1.0)
+            slots[region] = slots.get(region, 0) + member.row.slots * share
         return slots
 
+    def apply_rate_limits(self, limits, times, now_s):
+        """Update the shares of their full rate that members with a limit may use.
+
+        Args:
+            limits: :class:`RateLimit` of each limited backend server.
+            times: Function from a service to its :class:`ServiceTimes`.
+            now_s: Time.
+        """
+        shares = {}
+        for limit in limits:
+            row = self.members[limit.backend_id].row
+            cached_s = max(times(row.service).expected_s(PRIMARY), MIN_SERVICE_S)
+            shares[limit.backend_id] = limit.rate_per_s(now_s) * cached_s / row.slots
+        self.rate_shares = {i: min(1.0, share) for i, share in shares.items()}
+
     def summary(self, now_s):
         """Return :class:`FleetCounts` by service, for metrics."""
         return {
@@ -212,6 +230,7 @@
         cold_per_s,
         connections,
         avoid_domains=(),
+        is_closed=lambda backend_id, tier, now_s: False,
     ):
         """Return the :class:`Choice` with the earliest expected response, or None.
 
@@ -230,10 +249,13 @@
             connections: Limit on connections to a backend server from all instances,
                 which get equal parts of it.
             avoid_domains: Failure domains to use only if there is no other.
+            is_closed: Function of backend server id, affinity tier and time that
+                returns True while its rate limit permits no request.
         """
         own_connections = max(1, connections // max(1, len(self._entries)))
         members = self._responsive(service, region, now_s)
-        tiers = self._tiers(service, members, key) if key else {}
+        key_count = len(self.affinity.get(service, ()))
+        tiers = self.tiers.find(service, members, key, key_count) if key else {}
         best, best_cost, best_tier = None, (True, math.inf), PRIMARY
         for member in members:
             row = member.row
@@ -241,6 +263,8 @@
             tier = tiers.get(row.backend_id, OTHER) if key else PRIMARY
             if row.backend_id in exclude or member.in_flight >= own_connections:
                 continue
+            if is_closed(row.backend_id, tier, now_s):
+                continue
             if member.ejections and member.in_flight:
                 # After an ejection, one request at a time until one succeeds.
                 continue
@@ -305,40 +329,6 @@
         member.ejected_until_s = now_s + min(span_s, self.timing.max_eject_s)
         return True
 
-    def _tiers(self, service, members, key):
-        """Return affinity tiers for a key, by id, of members of one region.
-
-        A failure domain with enough members to cache all keys has a primary of its
-        own for each key, which avoids traffic between failure domains; the other
-        domains share the first primary of the region. The primaries of other failure
-        domains are secondary: they have the key's data cached as well, so a request
-        there displaces no other data.
-        """
-        ranked = self._ranked(service, members, key)
-        counts = collections.Counter(m.row.domain for m in ranked)
-        key_count = len(self.affinity.get(service, ()))
-        primaries = {}
-        for member in ranked:
-            domain = member.row.domain
-            if counts[domain] * CACHED_KEYS >= key_count:
-                primaries.setdefault(domain, member.row.backend_id)
-        ids = [m.row.backend_id for m in ranked]
-        primary = primaries.get(self.domain) or next(iter(ids), None)
-        secondaries = [i for i in primaries.values() if i != primary]
-        secondaries = secondaries or [i for i in ids if i != primary][:1]
-        return {**dict.fromkeys(secondaries, SECONDARY), primary: PRIMARY}
-
-    def _ranked(self, service, members, key):
-        """Return members by rendezvous hash of a key, in the same order everywhere."""
-        if len(self._ranks) > MAX_RANKED_KEYS:
-            self._ranks.clear()
-        ranks = self._ranks.setdefault((service, key), {})
-        for member in members:
-            name = member.row.backend_id
-            if name not in ranks:
-                ranks[name] = rendezvous_rank(key, name)
-        return sorted(members, key=lambda m: ranks[m.row.backend_id])
-
     def _state(self, member, now_s):
         if not self._is_open(member):
             return "closed"
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -1,11 +1,11 @@
 """Carries requests on routes of the traffic plan from arrival to their responses."""
 
 import collections
-import itertools
 
-from snipebay_policy.forward_reasons import dispatch_reason, problem_for, refusal_reason
-from snipebay_policy.forward_rows import ForwardAttempt, ForwardRow, ForwardRules
-from snipebay_policy.work import NOT_RUN, Cancel, Dispatch, Problem, Relay
+from snipebay_policy.dispatch_queue import DispatchQueue
+from snipebay_policy.forward_reasons import problem_for, refusal_reason
+from snipebay_policy.forward_rows import ForwardRow, ForwardRules
+from snipebay_policy.work import NOT_RUN, Cancel, Problem, Relay
 
 __all__ = ["ForwardSystem"]
 
@@ -20,7 +20,7 @@
     Attributes:
         is_closed: True when new requests are refused because the instance stops.
         rows: Request by id.
-        waiting: Requests that wait for a slot, by service and id.
+        queue: Requests that wait for a slot or a permit.
     """
 
     def __init__(self, ctx, rules=None):
@@ -28,9 +28,7 @@
         self.rules = rules or ForwardRules()
         self.is_closed = False
         self.rows = {}
-        self.waiting = {}
-        self._rows_by_attempt = {}
-        self._attempt_ids = itertools.count(1)
+        self.queue = DispatchQueue(ctx, self.rules, self._fail_request)
 
     # --- from the caller --------------------------------------------------
 
@@ -70,8 +68,8 @@
         )
         self.rows[request_id] = row
         self.ctx.count_request(service)
-        self.waiting.setdefault(service, {})[request_id] = row
-        self.dispatch_waiting(service, now_s)
+        self.queue.add(row)
+        self.queue.dispatch_waiting(service, now_s)
 
     def on_caller_disconnect(self, request_id, now_s):
         """Cancel a request whose caller has disconnected.
@@ -94,7 +92,7 @@
 
     def may_write(self, attempt_id, now_s):
         """Return True if the request may be written now, and mark it as written."""
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is None or row.attempt is None or now_s >= row.deadline_s:
             return False
         row.attempt.is_written = True
@@ -102,26 +100,26 @@
 
     def on_load_report(self, attempt_id, running, waiting, now_s):
         """Record the load that a backend server reported."""
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is not None and row.attempt is not None:
             row.attempt.member.update_load(running, waiting, now_s)
 
     def on_rate_limit(self, attempt_id, per_s, now_s):
         """Record the rate limit that a response named, None if it named none."""
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is not None and row.attempt is not None:
             self.ctx.rate_limits.record(row.attempt.member.row, per_s, now_s)
 
     def on_invalid_rate_limit(self, attempt_id, detail):
         """Log a rate limit that can't be read."""
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is not None and row.attempt is not None:
             backend_id = _backend_id(row.attempt.member)
             self.ctx.record_event("invalid rate limit", backend_id, detail=detail)
 
     def on_response(self, attempt_id, status, now_s):
         """Handle a complete response, or the head of a streamed one: relay or retry."""
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is None or row.attempt is None:
             return
         fleet = self.ctx.fleet
@@ -152,10 +150,10 @@
 
     def on_response_end(self, attempt_id, now_s):
         """Remove a request whose relayed response has ended."""
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is not None:
             self._remove(row)
-            self.dispatch_waiting(row.service, now_s)
+            self.queue.dispatch_waiting(row.service, now_s)
 
     def on_rejection(self, attempt_id, reason, now_s, *, is_misdirected=False):
         """Handle a rejection by a backend server that did not run the request.
@@ -166,7 +164,7 @@
             now_s: Time.
             is_misdirected: True when another backend server has the address now.
         """
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is None or row.attempt is None:
             return
         self._record_response(row, now_s)
@@ -180,7 +178,7 @@
 
     def on_failure(self, attempt_id, reason, now_s):
         """Handle a connection that failed before the response was complete."""
-        row = self._rows_by_attempt.get(attempt_id)
+        row = self.queue.rows_by_attempt.get(attempt_id)
         if row is None or row.attempt is None:
             return
         self._record_failure(row.attempt.member, now_s)
@@ -188,7 +186,7 @@
             # The adapter has closed the caller's connection in mid-response, so that
             # the caller sees that the response is incomplete.
             self._remove(row)
-            self.dispatch_waiting(row.service, now_s)
+            self.queue.dispatch_waiting(row.service, now_s)
             return
         row.avoid_domains.add(row.attempt.member.row.domain)
         self._on_attempt_failed(row, now_s, "connection", reason)
@@ -221,8 +219,7 @@
             self._on_deadline(row, now_s)
         for row in [row for row in self.rows.values() if self._is_stalled(row, now_s)]:
             self._retry_stalled(row, now_s)
-        for service in list(self.waiting):
-            self.dispatch_waiting(service, now_s)
+        self.queue.tick(now_s)
 
     def _is_stalled(self, row, now_s):
         """Return True when a retry is better than a further wait for the response."""
@@ -246,95 +243,6 @@
         self._record_failure(member, now_s)
         self._retry(row, now_s)
 
-    def dispatch_waiting(self, service, now_s):
-        """Dispatch waiting requests to free slots; refuse those that wait too long."""
-        waiting = self.waiting.get(service)
-        if not waiting:
-            return
-        for row in sorted(waiting.values(), key=_queue_order):
-            if not self._try_dispatch(row, now_s) and now_s >= self._queue_end_s(row):
-                self._fail_request(row, 503, "no_room", "no backend server has room")
-
-    def _queue_end_s(self, row):
-        wait_s = row.route.target_latency_s * self.rules.queue_wait_share
-        return min(
-            row.waiting_since_s + wait_s, row.deadline_s - self.rules.min_attempt_s
-        )
-
-    # --- dispatch ---------------------------------------------------------
-
-    def _try_dispatch(self, row, now_s):
-        """Return True when a waiting request was dispatched."""
-        if now_s >= row.deadline_s:
-            return False
-        service = self.ctx.service(row.service)
-        cold_per_s = service.cold_per_s
-        for region in self._regions(row):
-            choice = self.ctx.fleet.choose(
-                row.service,
-                region,
-                now_s,
-                key=row.key,
-                times=self.ctx.times(row.service),
-                target_s=row.route.target_latency_s,
-                exclude=row.excluded_backends,
-                avoid_domains=row.avoid_domains,
-                cold_per_s=cold_per_s,
-                connections=service.max_connections,
-            )
-            if choice is None:
-                continue
-            if region != row.region and not self._acquire_spill(row):
-                return False
-            self._dispatch(row, choice, cold_per_s, now_s)
-            return True
-        return False
-
-    def _regions(self, row):
-        """Return the regions to try, the one assigned to the request first."""
-        allowed = row.route.allowed_regions
-        known = self.ctx.shares(row.service).regions(allowed)
-        others = sorted(known, key=lambda r: (r != self.ctx.region, r))
-        regions = dict.fromkeys((row.region, *others))
-        return [r for r in regions if r]
-
-    def _acquire_spill(self, row):
-        """Return True when a request may leave its region, and count it if it does.
-
-        Retries, and requests without an assigned region, are not counted.
-        """
-        meter = self.ctx.spill_meter(row.service)
-        if row.region is None or row.attempt_count:
-            return True
-        if not meter.may_shift:
-            return False
-        meter.count_shift()
-        return True
-
-    def _dispatch(self, row, choice, cold_per_s, now_s):
-        self._dequeue(row)
-        member = choice.member
-        found_slot = member.load(now_s) + 1 <= member.row.slots
-        attempt = ForwardAttempt(
-            next(self._attempt_ids), member, now_s, found_slot, choice.tier
-        )
-        row.attempt = attempt
-        row.attempt_count += 1
-        row.excluded_backends.add(member.row.backend_id)
-        self._rows_by_attempt[attempt.attempt_id] = row
-        stall_timeout_s = self.ctx.times(row.service).stall_timeout_s
-        self.ctx.fleet.begin_request(member, cold_per_s, now_s, stall_timeout_s)
-        reason = dispatch_reason(row, choice, self.ctx.view.revision, now_s)
-        self.ctx.queue_action(
-            Dispatch(
-                row.request_id,
-                attempt.attempt_id,
-                member.row,
-                row.deadline_s,
-                reason,
-            )
-        )
-
     # --- ending -----------------------------------------------------------
 
     def _on_attempt_failed(self, row, now_s, reason, detail):
@@ -345,7 +253,7 @@
             self._retry(row, now_s)
         else:
             self._fail_request(row, 503, reason, detail)
-        self.dispatch_waiting(row.service, now_s)
+        self.queue.dispatch_waiting(row.service, now_s)
 
     def _acquire_retry(self, row, now_s):
         """Return True and take from the retry budget if another attempt is possible."""
@@ -359,8 +267,8 @@
     def _retry(self, row, now_s):
         self._end_attempt(row)
         row.waiting_since_s = now_s
-        self.waiting.setdefault(row.service, {})[row.request_id] = row
-        self._try_dispatch(row, now_s)
+        self.queue.add(row)
+        self.queue.try_dispatch(row, now_s)
 
     def _on_deadline(self, row, now_s):
         """End a request whose deadline has passed."""
@@ -375,14 +283,15 @@
         else:
             status = 504 if row.may_have_run else 503
             self._fail_request(row, status, "deadline", "the deadline has passed")
-        self.dispatch_waiting(row.service, now_s)
+        self.queue.dispatch_waiting(row.service, now_s)
 
-    def _fail_request(self, row, status, reason, detail):
+    def _fail_request(self, row, status, reason, detail, retry_after_s=None):
         """Report a failure to the caller; 503 means that the request did not run."""
         if row.may_have_run and status == 503:
             status = 502
         if row.request_id in self.rows:
-            retry_after_s = self.rules.retry_after_s if status == 503 else None
+            retry_after_s = retry_after_s or self.rules.retry_after_s
+            retry_after_s = retry_after_s if status == 503 else None
             # For a request that was sent, the last dispatch has the inputs.
             inputs = {} if row.attempt_count else self._refusal_reason(row)
             problem_args = (status, reason, detail, retry_after_s, inputs)
@@ -391,7 +300,8 @@
 
     def _refusal_reason(self, row):
         slots = self.ctx.fleet.capacity(row.service, row.arrived_s)
-        return refusal_reason(row, slots, self.ctx.view.revision)
+        limits = self.ctx.rate_limits_by_service().get(row.service, ())
+        return refusal_reason(row, slots, self.ctx.view.revision, limits)
 
     def _refuse(self, request_id, reason, detail):
         """Refuse a request that was not admitted."""
@@ -400,25 +310,17 @@
             Problem(request_id, 503, NOT_RUN, detail, after_s, reason)
         )
 
-    def _dequeue(self, row):
-        self.waiting.get(row.service, {}).pop(row.request_id, None)
-
     def _end_attempt(self, row):
         attempt, row.attempt = row.attempt, None
         if attempt is not None:
-            self._rows_by_attempt.pop(attempt.attempt_id, None)
+            self.queue.rows_by_attempt.pop(attempt.attempt_id, None)
             self.ctx.fleet.end_request(attempt.member)
 
     def _remove(self, row):
-        self._dequeue(row)
+        self.queue.remove(row)
         self._end_attempt(row)
         self.rows.pop(row.request_id, None)
 
 
 def _backend_id(member):
     return member.row.backend_id
-
-
-def _queue_order(row):
-    """Return the sort key of a waiting request: priority, then arrival."""
-    return row.route.priority, row.arrived_s, row.request_id
--- a/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
@@ -5,7 +5,7 @@
 __all__ = ["dispatch_reason", "problem_for", "refusal_reason"]
 
 
-def dispatch_reason(row, choice, revision, now_s):
+def dispatch_reason(row, choice, revision, now_s, limit=None):
     """Return the log fields that explain why a request goes to a backend server.
 
     The field ``place`` holds the affinity tier of the backend server for the key
@@ -16,6 +16,7 @@
         choice: Backend server chosen, and its affinity tier.
         revision: Revision of the view.
         now_s: Time.
+        limit: :class:`RateLimit` of the backend server, or None.
     """
     member = choice.member
     return {
@@ -28,18 +29,25 @@
         "place": choice.tier,
         "attempt": row.attempt_count,
         "waited_s": round(now_s - row.arrived_s, 3),
+        **({"rate_limit": round(limit.rate_per_s(now_s), 3)} if limit else {}),
     }
 
 
-def refusal_reason(row, slots_by_region, revision):
+def refusal_reason(row, slots_by_region, revision, limits=()):
     """Return the log fields that explain why a request ends without having been sent.
 
     Args:
         row: The request.
         slots_by_region: Slots of the usable backend servers by region.
         revision: Revision of the view.
+        limits: Rate limits of backend servers of the service.
     """
-    return {**_request_fields(row, revision), "slots_by_region": slots_by_region}
+    slots = {region: round(count, 1) for region, count in slots_by_region.items()}
+    fields = {**_request_fields(row, revision), "slots_by_region": slots}
+    if limits:
+        fields["rate_limited"] = len(limits)
+        fields["rate_limit"] = round(sum(limit.per_s for limit in limits), 3)
+    return fields
 
 
 def problem_for(row, status, reason, detail, retry_after_s, inputs):
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -68,6 +68,7 @@
         is_relayed: True once its response is relayed to the caller, or the caller of a
             request that can't be cancelled has disconnected.
         may_have_run: True when an attempt may have run.
+        needs_permit: True while a permit for it is requested from another instance.
     """
 
     request_id: int
@@ -86,3 +87,4 @@
     attempt_count: int = 0
     is_relayed: bool = False
     may_have_run: bool = False
+    needs_permit: bool = False
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -29,6 +29,8 @@
 NEEDS_WINDOW_S = 2.0
 # Smallest change of a region's share that is logged.
 LOGGED_SHARE_CHANGE = 0.1
+# A changed rate limit is reported this long before the next renewal is due.
+URGENT_RENEW_S = 0.4
 DEFAULT_LIMITS = RequestLimits()
 
 
@@ -132,12 +134,16 @@
     # --- inputs -----------------------------------------------------------
 
     def receive(self, sender, body, now_s):
-        """Handle a message from a control instance."""
+        """Handle a message from a control instance or another entry instance."""
         self.commands.now_s = now_s
         if isinstance(body, messages.RenewReply):
             self._on_renew_reply(body, now_s)
         elif isinstance(body, messages.CommandReply):
             self.commands.on_reply(body, now_s)
+        elif isinstance(body, messages.PermitRequest):
+            self.forward.queue.permits.on_request(sender, body, now_s)
+        elif isinstance(body, messages.PermitReply):
+            self.forward.queue.permits.on_reply(body, now_s)
 
     def tick(self, now_s):
         """Run the periodic work that is due."""
@@ -150,7 +156,8 @@
             for table in self.fleet.affinity.values():
                 table.refresh(now_s)
             self._update_shares(now_s)
-        if now_s >= self._next_renew_s:
+        is_urgent = self.rate_limits.has_changed
+        if now_s >= self._next_renew_s - (URGENT_RENEW_S if is_urgent else 0.0):
             self._renew(now_s)
 
     def leave(self, now_s):
@@ -220,6 +227,10 @@
             self._budgets[service] = RetryBudget(ratio, self._max_retry_credit())
         return self._budgets[service]
 
+    def owns(self, backend_id):
+        """Return True if this instance grants the permits for a backend server."""
+        return self.forward.queue.permits.is_owner(backend_id)
+
     def rate_limits_by_service(self):
         """Return the rate limits in force, by service of the plan."""
         services = self.table.services if self.table else ()
@@ -265,8 +276,12 @@
             int(now_s * 1_000),
             self.view.revision,
             self.view.revision,
-            load_reports={s: len(w) for s, w in self.forward.waiting.items() if w},
+            load_reports={
+                s: len(w) for s, w in self.forward.queue.waiting.items() if w
+            },
             needs=dict(self._needs),
+            rate_limits=self.rate_limits.news(now_s),
+            rate_limits_version=self.rate_limits.version,
         )
         self.queue_action(Send(target, report))
 
@@ -299,6 +314,8 @@
             self._demand.setdefault(service, {})[region] = slots
         if msg.delta is not None and msg.delta.base <= self.view.revision:
             self._apply_delta(msg.delta, now_s)
+        version = msg.rate_limits_version
+        self.rate_limits.apply_control(msg.rate_limits, version, now_s)
 
     def _apply_delta(self, delta, now_s):
         view = self.view.apply(delta)
@@ -313,12 +330,14 @@
             budget.max_credit = self._max_retry_credit()
         self.fleet.apply_view(view, now_s)
         self.rate_limits.apply_view(view)
+        self.forward.queue.permits.apply_view(view)
         self._update_shares(now_s)
         # Report the new revision at once: operators see from it what is in force.
         self._renew(now_s)
 
     def _update_shares(self, now_s):
         services = self.table.services if self.table else ()
+        self.fleet.apply_rate_limits(self.rate_limits, self.times, now_s)
         for service in services:
             capacity = self.fleet.capacity(service, now_s)
             shares = self.shares(service)
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -164,7 +164,7 @@
         for number in range(50):
             self.apply_view(backends=(backend(f"i{number}"), backend(f"j{number}")))
             self.choose(key="k")
-        self.assertLessEqual(len(self.fleet._ranks["s", "k"]), 2)
+        self.assertLessEqual(len(self.fleet.tiers._ranks["s", "k"]), 2)
 
     def test_busy_secondary_gets_no_request(self):
         self.keep_own_domain()
--- a/packages/snipebay-policy/tests/test_rate_limits.py
+++ b/packages/snipebay-policy/tests/test_rate_limits.py
@@ -3,6 +3,7 @@
 import unittest
 
 import attrs
+from snipebay_model.messages import RateLimitReport
 from snipebay_model.view import BackendRow, View
 from snipebay_policy.rate_limits import MIN_RATE_PER_S, RECOVERY_S, RateLimitTable
 
@@ -44,6 +45,30 @@
         self.table.apply_view(View(1, backends=(attrs.evolve(ROW, born_ms=8),)))
         self.assertIsNone(self.table.get("i1"))
 
+    def test_newer_report_of_an_end_replaces_older_knowledge(self):
+        self.table.apply_view(View(1, backends=(ROW,)))
+        self.name(4.0)
+        ended = RateLimitReport("i1", 7, 4.0, True, 10_000)
+        self.table.apply_control((ended,), (1, 1), 20.0)
+        self.table.tick(20.0)
+        self.assertIsNone(self.table.get("i1"))
+
+    def test_older_report_changes_nothing(self):
+        self.table.apply_view(View(1, backends=(ROW,)))
+        self.name(4.0, 9.5)
+        self.table.merge(RateLimitReport("i1", 7, 1.0, True, 2_000), 10.0)
+        self.assertEqual(self.table.get("i1").per_s, 4.0)
+
+    def test_only_what_control_does_not_know_is_reported(self):
+        self.table.apply_view(View(1, backends=(ROW,)))
+        self.name(4.0, 1.0)
+        (report,) = self.table.news(1.5)
+        self.assertEqual((report.per_s, report.age_ms), (4.0, 500))
+        self.table.apply_control((report,), (1, 1), 1.5)
+        self.assertEqual(self.table.news(2.0), ())
+        self.table.apply_control((), (2, 0), 2.5)
+        self.assertEqual(len(self.table.news(2.5)), 1)
+
     def test_small_changes_are_not_logged(self):
         for per_s in (4.0, 4.1, 4.0, 8.0, None):
             self.name(per_s)
--- a/packages/snipebay-testbed/src/snipebay_testbed/standin.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/standin.py
@@ -39,6 +39,7 @@
         queue_limit: Requests that may wait for a slot; more are shed.
         slow_factor: Run time multiplier for injected slowness.
         response_bytes: Minimum size of response bodies; shorter ones are padded.
+        rate_limit: Requests per second that responses name as the limit, or empty.
     """
 
     sigma: float = 0.3
@@ -47,6 +48,7 @@
     queue_limit: int = 4
     slow_factor: float = 1.0
     response_bytes: int = 200
+    rate_limit: str = ""
 
 
 @attrs.define
@@ -100,7 +102,8 @@
         if self.leaving_since_s is not None:
             self.late_requests += 1
         if self.state == "drained" or len(self.waiting) >= self.behaviour.queue_limit:
-            exchange.respond(503, b"", headers=[("Snipebay-Shed", "1")])
+            headers = [("Snipebay-Shed", "1"), *self._limit_headers()]
+            exchange.respond(503, b"", headers=headers)
             return
         run = _Run(exchange, exchange.header("idempotency-key"))
         exchange.on_disconnect = lambda: self._on_disconnect(run)
@@ -161,9 +164,14 @@
             }
         ).encode()
         padding_bytes = max(0, self.behaviour.response_bytes - len(body))
-        run.exchange.respond(200, body + b" " * padding_bytes)
+        body += b" " * padding_bytes
+        run.exchange.respond(200, body, headers=self._limit_headers())
         self._start_waiting()
 
+    def _limit_headers(self):
+        limit = self.behaviour.rate_limit
+        return [("Snipebay-Rate-Limit", limit)] if limit else []
+
     def _on_disconnect(self, run):
         """Cancel a run because the entry instance closed its connection."""
         if self.running.pop(id(run), None) is None and run in self.waiting:
@@ -221,6 +229,9 @@
         elif command.startswith("slow/"):
             factor = float(command.removeprefix("slow/"))
             self.behaviour = attrs.evolve(self.behaviour, slow_factor=factor)
+        elif command.startswith("limit/"):
+            limit = command.removeprefix("limit/")
+            self.behaviour = attrs.evolve(self.behaviour, rate_limit=limit)
         exchange.respond_json(200, self.report())
 
 
