--- a/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
@@ -22,7 +22,8 @@
 DOMAINS_PER_REGION = 2
 REGION_DELAY_S = 0.035
 DOMAIN_DELAY_S = 0.003
-HOST, PREFIX, SERVICE = "a.example", "/a/", "s"
+HOST, PREFIX, UNSAFE_PREFIX, SERVICE = "a.example", "/a/", "/u/", "s"
+CONNECT_TIMEOUT_S = 0.4
 SERVICE_S = 0.2
 SLOTS = 4
 QUEUE_LIMIT = 4
@@ -116,6 +117,9 @@
         frozen: True while the process is suspended.
         refusals: Problems that its callers received.
         answered: Number of requests with a complete response.
+        cut: How connections to all backend servers fail: ``hang``, ``refuse``, or
+            empty while they are reached.
+        tries: Pairs of arrival and whether it was answered, by request id.
     """
 
     def __init__(self, rig, row):
@@ -125,6 +129,9 @@
         self.frozen = False
         self.refusals = []
         self.answered = 0
+        self.cut = ""
+        self.tries = {}
+        self._connected = set()
         self._deferred = []
         self._attempts = {}
         self._start_count = 0
@@ -171,12 +178,14 @@
         callback(*args)
         self._run_actions()
 
-    def request(self, timeout_s=2.5):
+    def request(self, timeout_s=2.5, *, idempotent=True):
         """Send a request as a caller."""
         request_id = next(self.rig.ids)
+        self.tries[request_id] = (self.rig.now_s, False)
+        path = PREFIX if idempotent else UNSAFE_PREFIX
         self.run(
             lambda: self.core.forward.on_request(
-                request_id, HOST, PREFIX, timeout_s, self.rig.now_s
+                request_id, HOST, path, timeout_s, self.rig.now_s
             )
         )
 
@@ -214,6 +223,7 @@
             case Cancel():
                 attempt = self._attempts.pop(action.attempt_id, None)
                 if attempt is not None:
+                    self._connected.discard(attempt.backend)
                     attempt.backend.cancel(attempt)
             case Problem():
                 self.refusals.append((self.rig.now_s, action))
@@ -223,12 +233,35 @@
     def _dispatch(self, action):
         backend = self.rig.backends[action.backend.backend_id]
         attempt = _Attempt(action.attempt_id, action.request_id, self, backend)
-        if self.core.forward.may_write(action.attempt_id, self.rig.now_s):
-            self._attempts[action.attempt_id] = attempt
+        self._attempts[action.attempt_id] = attempt
+        if self.cut and backend not in self._connected:
+            after_s = CONNECT_TIMEOUT_S if self.cut == "hang" else 0.0
+            self.rig.scheduler.after(after_s, self.run, self._on_failure, attempt)
+        elif self.core.forward.may_write(action.attempt_id, self.rig.now_s):
+            self._connected.add(backend)
+            self._send(attempt)
+
+    def _send(self, attempt):
+        """Send a written request, which a cut loses without notice."""
+        backend = attempt.backend
+        if self.cut != "hang":
             delay_s = self.rig.delay_s(self.row.domain, backend.row.domain)
             self.rig.scheduler.after(delay_s, backend.receive, attempt)
 
+    def _on_failure(self, attempt):
+        if self._attempts.pop(attempt.attempt_id, None) is not None:
+            now_s = self.rig.now_s
+            self.core.forward.on_failure(attempt.attempt_id, "no connection", now_s)
+
+    def cut_off(self, how):
+        """Cut this instance from all backend servers; an empty string ends it."""
+        self.cut = how
+        if how == "refuse":
+            self._connected.clear()
+
     def _on_response(self, attempt, said, is_rejected):
+        if self.cut == "hang":
+            return
         if self._attempts.pop(attempt.attempt_id, None) is None:
             return
         forward, now_s = self.core.forward, self.rig.now_s
@@ -241,6 +274,8 @@
         forward.on_response(attempt.attempt_id, 200, now_s)
         forward.on_response_end(attempt.attempt_id, now_s)
         self.answered += 1
+        arrived_s, _ = self.tries[attempt.request_id]
+        self.tries[attempt.request_id] = (arrived_s, True)
 
 
 class RoutedRig:
@@ -283,7 +318,10 @@
         """Start the deployment, wait until all instances have the plan, return self."""
         self.control.elect()
         route = Route("r", HOST, PREFIX, True, 2.0, 0.8, 1, ((SERVICE, 1.0),), 2)
-        plan = Plan(1, (route,), (RoutedService(SERVICE, max_connections=4_000),))
+        unsafe = attrs.evolve(route, name="u", prefix=UNSAFE_PREFIX, idempotent=False)
+        plan = Plan(
+            1, (route, unsafe), (RoutedService(SERVICE, max_connections=4_000),)
+        )
         assert self.control.call(ApplyPlan("d", 0, plan)).code == "ok"
         for backend in self.backends.values():
             self.control.call(PutBackend(backend.row))
@@ -293,7 +331,7 @@
         assert all(host.core.is_ready for host in self.entries)
         return self
 
-    def offer_load(self, per_s, seconds, hosts=None):
+    def offer_load(self, per_s, seconds, hosts=None, unsafe_share=0.0):
         """Schedule requests with Poisson arrivals at random entry instances."""
         end_s = self.now_s + seconds
         hosts = hosts or self.entries
@@ -301,7 +339,8 @@
         def arrive():
             if self.now_s >= end_s:
                 return
-            hosts[int(self.rng.integers(len(hosts)))].request()
+            host = hosts[int(self.rng.integers(len(hosts)))]
+            host.request(idempotent=self.rng.random() >= unsafe_share)
             self.scheduler.after(float(self.rng.exponential(1 / per_s)), arrive)
 
         self.scheduler.after(float(self.rng.exponential(1 / per_s)), arrive)
