Send requests through another instance when no backend server is reached

Cause: the instance took its own loss of reach for failures of all backend servers. It ejected them, moved its region shares and spent its retries on others that it reached no better; nothing told callers or other instances. Class: evidence of an own fault counted against others. Ruled out: overload of the others. A stranded instance records no failures, tells control, leaves look-ups, and sends each request through the nearest instance that reaches: one hop, with the deadline, attempts and regions kept. Refusals are at once when none reaches.

--- a/packages/snipebay-cli/src/snipebay_cli/explain.py
+++ b/packages/snipebay-cli/src/snipebay_cli/explain.py
@@ -64,7 +64,8 @@
         return f"it was last seen when an attempt failed: {end.get('reason')}"
     instance = f"instance {end.get('instance')}"
     duration = f"after {end.get('elapsed_s')} s"
-    backend = f"backend server {end.get('backend')} in {end.get('domain')}"
+    place = "entry instance" if end.get("hop") else "backend server"
+    backend = f"{place} {end.get('backend')} in {end.get('domain')}"
     failed_attempts = [row for row in rows if row.get("event") == "attempt failed"]
     failures = "".join(
         f"; attempt at {row.get('backend')} failed: {row.get('reason')}"
--- a/packages/snipebay-cli/tests/test_explain.py
+++ b/packages/snipebay-cli/tests/test_explain.py
@@ -60,6 +60,10 @@
         self.assertIn("gave 502", cause)
         self.assertIn("load 5.0 of 4 slots", cause)
 
+    def test_answered_through_another_instance(self):
+        cause = explain({**ENDED, "hop": True}).cause
+        self.assertIn("relayed status 200 of entry instance i-1", cause)
+
     def test_ended_without_a_response(self):
         cause = explain({**ENDED, "outcome": "caller gone", "status": 0}).cause
         self.assertIn("without an answer", cause)
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -115,6 +115,7 @@
         self._settled_by_region = {}
         self._drained = ()
         self._demand = ()
+        self._stranded = ()
         self._lease_settings_revision = 0
         self._next_clock_s = 0.0
         self._applied_index = self.raft.commit_index
@@ -158,6 +159,7 @@
         self._settled_by_region = {}
         self._drained = self.sessions.drained(self.state, now_s)
         self._demand = self.sessions.demand(self.state)
+        self._stranded = self.sessions.stranded(self.state)
         self.rate_limits.expire(self.state.backends, self._now_s)
         self._update_backend_leases()
         self._remove_expired()
@@ -336,6 +338,7 @@
             drained=self._drained,
             controls=self.controls,
             demand=self._demand,
+            stranded=self._stranded,
         )
 
     def _settled(self, region):
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -17,6 +17,7 @@
     RemoveBackend,
     RemoveEntry,
 )
+from snipebay_model.permits import PermitReply, PermitRequest, RateLimitReport
 from snipebay_model.view import EntryRow, ViewDelta
 
 __all__ = [
@@ -288,25 +289,6 @@
     data: bytes = b""
 
 
-@attrs.frozen
-class RateLimitReport:
-    """What an instance knows of the rate limit that a backend server named.
-
-    Attributes:
-        backend_id: Id of the backend server.
-        born_ms: Its incarnation.
-        per_s: Requests per second that it takes from all instances together.
-        is_ended: True when its newest response named no limit any more.
-        age_ms: Milliseconds since the response that named or ended the limit.
-    """
-
-    backend_id: str
-    born_ms: int
-    per_s: float
-    is_ended: bool
-    age_ms: int
-
-
 @attrs.frozen
 class Renew:
     """Renews an entry instance's lease and reports its state.
@@ -328,6 +310,7 @@
             service.
         rate_limits: Rate limits of which the sender knows more than control.
         rate_limits_version: Version of the rate limits that the sender received last.
+        is_stranded: True while the sender reaches no backend server.
     """
 
     row: EntryRow
@@ -340,6 +323,7 @@
     needs: dict[str, float] = attrs.Factory(dict)
     rate_limits: tuple[RateLimitReport, ...] = ()
     rate_limits_version: tuple[int, int] = (0, 0)
+    is_stranded: bool = False
 
 
 @attrs.frozen
@@ -364,6 +348,7 @@
             need, summed over its entry instances.
         rate_limits: Rate limits in force, or None when the receiver has this version.
         rate_limits_version: Term of the leader and number of its last change.
+        stranded: Ids of the entry instances that reach no backend server.
     """
 
     leader: str
@@ -379,6 +364,7 @@
     demand: tuple[tuple[str, str, float], ...] = ()
     rate_limits: tuple[RateLimitReport, ...] | None = None
     rate_limits_version: tuple[int, int] = (0, 0)
+    stranded: tuple[str, ...] = ()
 
 
 # --- between entry instances ----------------------------------------------
@@ -457,35 +443,3 @@
 
     loan_id: int
     slots: tuple[tuple[str, int], ...]
-
-
-@attrs.frozen
-class PermitRequest:
-    """Asks for a permit to send one request to a backend server with a rate limit.
-
-    Attributes:
-        permit_id: Id, unique for the sender, that the reply repeats.
-        limit: What the sender knows of the limit.
-        priority: Rank of the request's route, 0 for the most urgent.
-        tier: Affinity tier of the backend server for the request's key.
-    """
-
-    permit_id: int
-    limit: RateLimitReport
-    priority: int
-    tier: int = 0
-
-
-@attrs.frozen
-class PermitReply:
-    """Reply to a :class:`PermitRequest`.
-
-    Attributes:
-        permit_id: Echo of the request.
-        granted: True when the request may be sent now.
-        due_ms: Milliseconds until the next permit is due, when not granted.
-    """
-
-    permit_id: int
-    granted: bool
-    due_ms: int = 0
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -2,7 +2,7 @@
 
 import attrs
 import structlog
-from snipebay_policy.work import Cancel, Dispatch, Problem, Relay
+from snipebay_policy.work import Cancel, Dispatch, Probe, Problem, Relay
 
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.log_sink import RequestLog
@@ -101,6 +101,7 @@
         self._log = RequestLog(log, metrics.lines_suppressed.inc)
         self._handlers = {
             Dispatch: self._dispatch,
+            Probe: self._probe,
             Cancel: self._cancel,
             Relay: self._relay,
             Problem: self._problem,
@@ -136,8 +137,16 @@
         exchange.stream.on_drained = lambda: self._resume_reading(key)
         timeout_s = int(remaining) / 1_000 if remaining else None
         host = exchange.header("host")
+        hop = exchange.header(self.header_names.hop.decode())
+        attempts_before_hop = int(hop) if hop.isdigit() and len(hop) < 3 else None
         self.core.forward.on_request(
-            key, host, exchange.path, timeout_s, now_s, self._affinity(exchange)
+            key,
+            host,
+            exchange.path,
+            timeout_s,
+            now_s,
+            self._affinity(exchange),
+            attempts_before_hop,
         )
         self.run_actions()
 
@@ -182,20 +191,31 @@
                 action.backend.address,
                 exchange.method,
                 exchange.target,
-                self._headers(exchange, action.backend.backend_id, remaining_ms),
+                self._headers(exchange, action, remaining_ms),
                 bytes(exchange.body),
                 request.request_id.encode("latin-1"),
+                is_hop=action.attempts_before_hop is not None,
             )
         )
 
-    def _headers(self, exchange, backend_id, remaining_ms):
-        """Return the headers that go to the backend server."""
+    def _probe(self, action):
+        self.pool.probe(action.backend.address, self._on_probe)
+
+    def _on_probe(self, is_connected):
+        self.core.forward.on_probe(is_connected, self.clock())
+        self.run_actions()
+
+    def _headers(self, exchange, action, remaining_ms):
+        """Return the headers that go to the backend server or entry instance."""
         header_names = self.header_names
-        replaced = (header_names.deadline_ms, header_names.target)
+        replaced = (header_names.deadline_ms, header_names.target, header_names.hop)
         headers = next_hop_headers(exchange, replaced)
         headers.append((header_names.deadline_ms, str(remaining_ms).encode()))
-        if header_names.target:
-            headers.append((header_names.target, backend_id.encode()))
+        if action.attempts_before_hop is not None:
+            hop = str(action.attempts_before_hop).encode()
+            headers.append((header_names.hop, hop))
+        elif header_names.target:
+            headers.append((header_names.target, action.backend.backend_id.encode()))
         return headers
 
     def _cancel(self, action):
@@ -275,7 +295,11 @@
         reason = f"the backend server refused it with {status}"
         self._log_failed_attempt(self._end_attempt(attempt_id, "not_run"), reason)
         self.core.forward.on_rejection(
-            attempt_id, reason, self.clock(), is_misdirected=is_misdirected
+            attempt_id,
+            reason,
+            self.clock(),
+            is_misdirected=is_misdirected,
+            retry_after_s=_retry_after_s(dict(headers)),
         )
         self.run_actions()
 
@@ -367,3 +391,10 @@
             elapsed_s=round(elapsed_s, 3),
             **{"service": request.service, "kind": request.kind, **decision},
         )
+
+
+def _retry_after_s(headers):
+    """Return the delay in a Retry-After header, or None without a usable one."""
+    value = headers.get(b"retry-after", b"").decode("latin-1").strip()
+    is_number = value.isascii() and value.replace(".", "", 1).isdigit()
+    return float(value) if is_number and len(value) < 10 else None
--- a/packages/snipebay-node/src/snipebay_node/header_names.py
+++ b/packages/snipebay-node/src/snipebay_node/header_names.py
@@ -17,6 +17,9 @@
         load: Response header: requests running, requests waiting, and slots.
         rate_limit: Response header: requests per second that the backend server takes
             from all instances together.
+        hop: Attempts before a hop between entry instances; its presence forbids a
+            second hop.
+        outcome: Response header of an entry instance's own problems.
         affinity: Name of the cookie that holds the affinity key.
     """
 
@@ -26,4 +29,6 @@
     not_run: bytes = b"snipebay-shed"
     load: bytes = b""
     rate_limit: bytes = b"snipebay-rate-limit"
+    hop: bytes = b"snipebay-hop"
+    outcome: bytes = b"snipebay-outcome"
     affinity: str = ""
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -35,6 +35,10 @@
         now_s = self._clock()
         age_s = entry.view_age_s(now_s)
         yield _gauge("view_age_seconds", "Time since control confirmed it.", age_s)
+        reach = entry.reach
+        yield _gauge("stranded", "1 while it reaches no server.", reach.is_stranded)
+        others = len(entry.relays.stranded)
+        yield _gauge("stranded_instances", "Instances that reach none.", others)
         slots = _service_gauge("slots", "Slots of backend servers in view.", "state")
         backends = _service_gauge("backends", "Backend servers in view.", "state")
         budget = _service_gauge("retry_budget", "Retries that are allowed now.")
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -67,6 +67,7 @@
         headers: Pairs of name and value, as bytes.
         body: The complete body.
         request_id: Expected request id if the response echoes one.
+        is_hop: True when the address is that of another entry instance.
     """
 
     attempt_id: int
@@ -76,6 +77,7 @@
     headers: list
     body: bytes
     request_id: bytes = b""
+    is_hop: bool = False
 
 
 class UpstreamPool:
@@ -98,6 +100,7 @@
         self.listener = listener
         self._idle = {}
         self._active = {}
+        self._probes = []
 
     def start(self, req):
         """Send a request on an idle connection, or on a new one."""
@@ -107,6 +110,17 @@
         self._active[req.attempt_id] = connection
         connection.start(req)
 
+    def probe(self, address, on_result):
+        """Open a connection without a request, and keep it if that succeeds.
+
+        Args:
+            address: Address of a backend server.
+            on_result: Function called with True when the connection is established,
+                with False when it fails or takes too long.
+        """
+        connection = _Connection(self, self.hub.connect(address), address)
+        self._probes.append((connection, on_result))
+
     def cancel(self, attempt_id):
         """Cancel an attempt.
 
@@ -136,6 +150,21 @@
             is_late = now_s - connection.last_used_s > CONNECT_TIMEOUT_S
             if connection.stream.is_connecting and is_late:
                 connection.time_out_connect()
+        probes, self._probes = self._probes, []
+        for connection, on_result in probes:
+            self._check_probe(connection, on_result, now_s)
+
+    def _check_probe(self, connection, on_result, now_s):
+        """Report a probe that has ended; keep its connection if it is established."""
+        stream = connection.stream
+        if stream.is_open and not stream.is_connecting:
+            self.add_idle(connection)
+            on_result(True)
+        elif not stream.is_open or now_s - connection.last_used_s > CONNECT_TIMEOUT_S:
+            stream.abort()
+            on_result(False)
+        else:
+            self._probes.append((connection, on_result))
 
     def close(self):
         """Close all idle connections."""
@@ -219,7 +248,10 @@
 
     def _write_request(self):
         req = self.req
-        if req is None or not self.pool.listener.may_write(req.attempt_id):
+        if req is None:
+            # A probe, or a request that was cancelled, which aborts the stream.
+            return
+        if not self.pool.listener.may_write(req.attempt_id):
             self.abandon()
             return
         head = h11.Request(method=req.method, target=req.target, headers=req.headers)
@@ -282,7 +314,9 @@
             return
         self._response = event
         self._is_not_run = (
-            header_names.not_run in headers or event.status_code == MISDIRECTED_REQUEST
+            header_names.not_run in headers
+            or event.status_code == MISDIRECTED_REQUEST
+            or (self.req.is_hop and headers.get(header_names.outcome) == b"not-run")
         )
         self._apply_keep_alive(headers.get(b"keep-alive", b""))
         if not self._is_not_run:
--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from snipebay_policy.fleet_rows import Choice
 from snipebay_policy.forward_reasons import dispatch_reason
 from snipebay_policy.forward_rows import ForwardAttempt
 from snipebay_policy.permits import Permission, PermitSystem
@@ -10,6 +11,9 @@
 
 __all__ = ["DispatchQueue"]
 
+# Hops of one request: a second one, if the first instance can't take it.
+MAX_HOPS = 2
+
 
 class DispatchQueue:
     """Chooses backend servers for waiting requests.
@@ -57,6 +61,10 @@
         for row in sorted(waiting.values(), key=_queue_order):
             if row.needs_permit or self.try_dispatch(row, now_s):
                 continue
+            if self.ctx.reach.is_stranded:
+                detail = "no backend server is reached from any known instance"
+                self._fail_request(row, 503, "unreachable", detail)
+                continue
             end_s = self._queue_end_s(row)
             permit_due_s = self._permit_due_s(row, now_s)
             if permit_due_s > end_s:
@@ -70,6 +78,8 @@
         """Return True when a request was dispatched or waits for its permit."""
         if now_s >= row.deadline_s:
             return False
+        if self.ctx.reach.is_stranded:
+            return self.try_hop(row, now_s)
         service = self.ctx.service(row.service)
         for region in self._regions(row):
             choice = self.ctx.fleet.choose(
@@ -98,6 +108,22 @@
             return True
         return False
 
+    def may_retry(self, row):
+        """Return True unless a request needs another hop and may take none."""
+        return not self.ctx.reach.is_stranded or row.hop_count < MAX_HOPS
+
+    def try_hop(self, row, now_s):
+        """Return True when a request was sent through another entry instance."""
+        if row.has_hopped or row.hop_count >= MAX_HOPS:
+            return False
+        exclude = row.excluded_backends
+        member = self.ctx.relays.choose(row.route.allowed_regions, exclude)
+        if member is None:
+            return False
+        row.hop_count += 1
+        self._start_attempt(row, Choice(member, PRIMARY), now_s, is_hop=True)
+        return True
+
     def _on_permit(self, row, choice, permission, now_s):
         """Handle the decision on a permit that a request waits for."""
         row.needs_permit = False
@@ -147,14 +173,23 @@
         return True
 
     def _dispatch(self, row, choice, now_s):
+        """Send a request to a backend server."""
+        row.attempt_count += 1
+        self._start_attempt(row, choice, now_s)
+
+    def _start_attempt(self, row, choice, now_s, *, is_hop=False):
         self.remove(row)
         member = choice.member
         found_slot = member.load(now_s) + 1 <= member.row.slots
         attempt = ForwardAttempt(
-            next(self._attempt_ids), member, now_s, found_slot, choice.tier
+            next(self._attempt_ids),
+            member,
+            now_s,
+            found_slot,
+            choice.tier,
+            is_hop=is_hop,
         )
         row.attempt = attempt
-        row.attempt_count += 1
         row.excluded_backends.add(member.row.backend_id)
         self.rows_by_attempt[attempt.attempt_id] = row
         cold_per_s = self.ctx.service(row.service).cold_per_s
@@ -168,7 +203,8 @@
                 attempt.attempt_id,
                 member.row,
                 row.deadline_s,
-                reason,
+                {**reason, "hop": True} if is_hop else reason,
+                row.attempt_count if is_hop else None,
             )
         )
 
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -3,16 +3,13 @@
 import collections
 import math
 
-import attrs
-
 from snipebay_policy.affinity_tiers import AffinityTiers
-from snipebay_policy.service_times import OTHER, PRIMARY
+from snipebay_policy.fleet_rows import Choice, FleetCounts, FleetTiming, Member
+from snipebay_policy.service_times import MIN_STALL_S, OTHER, PRIMARY
 from snipebay_policy.slot_assignment import rendezvous_rank
 
-__all__ = ["Choice", "Fleet", "FleetCounts", "FleetTiming", "Member"]
+__all__ = ["Fleet"]
 
-# Time constant with which the reported load of other instances is assumed to decay.
-LOAD_DECAY_S = 0.5
 # Cost of using another failure domain, in seconds of latency: a small part for the
 # network delay, the rest for bytes between failure domains, which are billed.
 CROSS_DOMAIN_COST_S = 0.05
@@ -36,94 +33,6 @@
 COLD_RATE_SHARE = 0.15
 
 
-@attrs.frozen
-class FleetTiming:
-    """Rules for the ejection of backend servers.
-
-    Attributes:
-        eject_failures: Consecutive failures that eject a backend server.
-        eject_s: Duration of the first ejection, doubled for each consecutive one.
-        max_eject_s: Longest ejection.
-        eject_ceiling: Largest share of a service's backend servers ejected at once.
-    """
-
-    eject_failures: int = 3
-    eject_s: float = 1.0
-    max_eject_s: float = 8.0
-    eject_ceiling: float = 0.5
-
-
-@attrs.define
-class Member:
-    """One backend server.
-
-    Attributes:
-        row: Its :class:`BackendRow` in the view.
-        in_flight: Requests of this instance running or queued there.
-        other_load: Estimated requests of other instances there.
-        reported_s: When its last load report arrived.
-        failures: Consecutive failures.
-        ejections: Consecutive ejections.
-        ejected_until_s: When its ejection ends.
-        cold_until_s: When its cold start ends.
-        next_cold_s: Earliest time for the next request during its cold start.
-        last_response_s: When it last responded to this instance, in any way.
-        unresponsive_from_s: When it becomes unresponsive unless it responds;
-            infinite while it has no requests of this instance.
-        is_stale: True when another backend server responded at its address.
-    """
-
-    row: object
-    in_flight: int = 0
-    other_load: float = 0.0
-    reported_s: float = -math.inf
-    failures: int = 0
-    ejections: int = 0
-    ejected_until_s: float = -math.inf
-    cold_until_s: float = -math.inf
-    next_cold_s: float = -math.inf
-    last_response_s: float = -math.inf
-    unresponsive_from_s: float = math.inf
-    is_stale: bool = False
-
-    def load(self, now_s):
-        """Return the estimated number of requests running or queued there."""
-        age_s = max(0.0, now_s - self.reported_s)
-        return self.in_flight + self.other_load * math.exp(-age_s / LOAD_DECAY_S)
-
-    def is_unresponsive(self, now_s):
-        """Return True when requests have been in flight too long without a response."""
-        return now_s >= self.unresponsive_from_s
-
-    def update_load(self, running, waiting, now_s):
-        """Record a load report, which includes the requests of this instance."""
-        self.other_load = max(0.0, running + waiting - self.in_flight)
-        self.reported_s = now_s
-
-
-@attrs.frozen
-class FleetCounts:
-    """Metrics on the backend servers of one service.
-
-    Attributes:
-        members: Count by state: ``sound`` (healthy), ``cold``, ``ejected`` or
-            ``closed``.
-        slots: ``total`` of the open ones, requests of this instance there as
-            ``ours``, and estimated requests of other instances as ``others``.
-    """
-
-    members: dict
-    slots: dict
-
-
-@attrs.frozen
-class Choice:
-    """Backend server chosen for a request, and its affinity tier for the key."""
-
-    member: Member
-    tier: int
-
-
 class Fleet:
     """Table of the backend servers in the view.
 
@@ -171,6 +80,18 @@
         self._entries = tuple(r.entry_id for r in view.entries if not r.leaving)
         self._cold_owners.clear()
 
+    def open_rows(self):
+        """Return the rows of the members that may get requests, by failures or not."""
+        return [m.row for m in self.members.values() if self._is_open(m)]
+
+    def reset_failures(self, now_s):
+        """Forget all failures, which this instance's own links may have caused."""
+        for member in self.members.values():
+            member.failures = member.ejections = 0
+            member.ejected_until_s = -math.inf
+            if member.in_flight:
+                member.unresponsive_from_s = now_s + MIN_STALL_S
+
     def usable(self, service, now_s):
         """Return the members of a service that may get requests.
 
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -5,7 +5,7 @@
 from snipebay_policy.dispatch_queue import DispatchQueue
 from snipebay_policy.forward_reasons import problem_for, refusal_reason
 from snipebay_policy.forward_rows import ForwardRow, ForwardRules
-from snipebay_policy.work import NOT_RUN, Cancel, Problem, Relay
+from snipebay_policy.work import NOT_RUN, Cancel, Probe, Problem, Relay
 
 __all__ = ["ForwardSystem"]
 
@@ -32,7 +32,9 @@
 
     # --- from the caller --------------------------------------------------
 
-    def on_request(self, request_id, host, path, timeout_s, now_s, key=""):
+    def on_request(
+        self, request_id, host, path, timeout_s, now_s, key="", attempts_before_hop=None
+    ):
         """Admit or refuse a request whose head and body have been read.
 
         Args:
@@ -42,6 +44,8 @@
             timeout_s: Timeout of its caller, or None when unknown.
             now_s: Time.
             key: Affinity key, or empty.
+            attempts_before_hop: Attempts of the entry instance that sent it here, or
+                None when its caller did.
         """
         table = self.ctx.table
         if self.is_closed:
@@ -66,8 +70,13 @@
         row = ForwardRow(
             request_id, route, service, region, key, now_s, now_s + limit_s
         )
+        if attempts_before_hop is not None:
+            row.has_hopped = True
+            row.attempt_count = min(attempts_before_hop, route.max_attempts - 1)
+        else:
+            # Only the first instance counts a request.
+            self.ctx.count_request(service)
         self.rows[request_id] = row
-        self.ctx.count_request(service)
         self.queue.add(row)
         self.queue.dispatch_waiting(service, now_s)
 
@@ -98,22 +107,29 @@
         row.attempt.is_written = True
         return True
 
+    def _row_at_backend(self, attempt_id):
+        """Return the request of an attempt that did not go through an instance."""
+        row = self.queue.rows_by_attempt.get(attempt_id)
+        if row is None or row.attempt is None or row.attempt.is_hop:
+            return None
+        return row
+
     def on_load_report(self, attempt_id, running, waiting, now_s):
         """Record the load that a backend server reported."""
-        row = self.queue.rows_by_attempt.get(attempt_id)
-        if row is not None and row.attempt is not None:
+        row = self._row_at_backend(attempt_id)
+        if row is not None:
             row.attempt.member.update_load(running, waiting, now_s)
 
     def on_rate_limit(self, attempt_id, per_s, now_s):
         """Record the rate limit that a response named, None if it named none."""
-        row = self.queue.rows_by_attempt.get(attempt_id)
-        if row is not None and row.attempt is not None:
+        row = self._row_at_backend(attempt_id)
+        if row is not None:
             self.ctx.rate_limits.record(row.attempt.member.row, per_s, now_s)
 
     def on_invalid_rate_limit(self, attempt_id, detail):
         """Log a rate limit that can't be read."""
-        row = self.queue.rows_by_attempt.get(attempt_id)
-        if row is not None and row.attempt is not None:
+        row = self._row_at_backend(attempt_id)
+        if row is not None:
             backend_id = _backend_id(row.attempt.member)
             self.ctx.record_event("invalid rate limit", backend_id, detail=detail)
 
@@ -124,8 +140,11 @@
             return
         fleet = self.ctx.fleet
         self._record_response(row, now_s)
-        if status >= 500:
-            self._record_failure(row.attempt.member, now_s)
+        if row.attempt.is_hop:
+            # The other instance has retried the request if that was possible.
+            pass
+        elif status >= 500:
+            self._record_failure(row.attempt, now_s, is_connection=False)
             if row.route.idempotent and self._acquire_retry(row, now_s):
                 self.ctx.queue_action(Cancel(attempt_id))
                 row.may_have_run = True
@@ -155,14 +174,17 @@
             self._remove(row)
             self.queue.dispatch_waiting(row.service, now_s)
 
-    def on_rejection(self, attempt_id, reason, now_s, *, is_misdirected=False):
-        """Handle a rejection by a backend server that did not run the request.
+    def on_rejection(
+        self, attempt_id, reason, now_s, *, is_misdirected=False, retry_after_s=None
+    ):
+        """Handle a rejection by a backend server or instance that did not run it.
 
         Args:
             attempt_id: The attempt.
             reason: Why it was rejected.
             now_s: Time.
             is_misdirected: True when another backend server has the address now.
+            retry_after_s: Delay that it suggested before a retry, or None.
         """
         row = self.queue.rows_by_attempt.get(attempt_id)
         if row is None or row.attempt is None:
@@ -174,31 +196,42 @@
             self._remove(row)
             return
         row.attempt.is_written = False
-        self._on_attempt_failed(row, now_s, "rejected", reason)
+        self._on_attempt_failed(row, now_s, "rejected", reason, retry_after_s)
 
     def on_failure(self, attempt_id, reason, now_s):
         """Handle a connection that failed before the response was complete."""
         row = self.queue.rows_by_attempt.get(attempt_id)
         if row is None or row.attempt is None:
             return
-        self._record_failure(row.attempt.member, now_s)
+        self._record_failure(row.attempt, now_s)
         if row.is_relayed:
             # The adapter has closed the caller's connection in mid-response, so that
             # the caller sees that the response is incomplete.
             self._remove(row)
             self.queue.dispatch_waiting(row.service, now_s)
             return
-        row.avoid_domains.add(row.attempt.member.row.domain)
+        if not row.attempt.is_hop:
+            row.avoid_domains.add(row.attempt.member.row.domain)
         self._on_attempt_failed(row, now_s, "connection", reason)
 
     def _record_response(self, row, now_s):
         """Record that a backend server responded, and how long it took."""
         times = self.ctx.times(row.service)
-        times.record_response(now_s - row.attempt.started_s)
+        if not row.attempt.is_hop:
+            self.ctx.reach.on_response(now_s)
+            times.record_response(now_s - row.attempt.started_s)
         self.ctx.fleet.record_response(row.attempt.member, now_s, times.stall_timeout_s)
 
-    def _record_failure(self, member, now_s):
-        """Count a failure of a backend server, and log an ejection."""
+    def _record_failure(self, attempt, now_s, *, is_connection=True):
+        """Count a failure of a backend server, and log an ejection.
+
+        While this instance reaches none, failures say nothing about them.
+        """
+        if attempt.is_hop or self.ctx.reach.is_stranded:
+            return
+        member = attempt.member
+        if is_connection:
+            self.ctx.reach.on_failure(member.row)
         if self.ctx.fleet.record_failure(member, now_s):
             self.ctx.record_event(
                 "backend server ejected",
@@ -218,9 +251,41 @@
         for row in [row for row in self.rows.values() if now_s >= row.deadline_s]:
             self._on_deadline(row, now_s)
         for row in [row for row in self.rows.values() if self._is_stalled(row, now_s)]:
-            self._retry_stalled(row, now_s)
+            self._retry_elsewhere(row, now_s)
+        self._update_reach(now_s)
         self.queue.tick(now_s)
 
+    def _update_reach(self, now_s):
+        """Detect a loss of reach, and probe backend servers to tell."""
+        backends = self.ctx.fleet.open_rows()
+        attempts = (
+            row.attempt
+            for row in self.queue.rows_by_attempt.values()
+            if not row.attempt.is_hop
+        )
+        self.ctx.reach.tick(attempts, backends, now_s)
+        for backend in self.ctx.reach.next_probes(backends, now_s):
+            self.ctx.queue_action(Probe(backend))
+
+    def on_probe(self, is_connected, now_s):
+        """Handle the result of a :class:`Probe`."""
+        if not self.ctx.reach.on_probe(is_connected, now_s):
+            return
+        self.ctx.on_reach_changed(now_s)
+        if self.ctx.reach.is_stranded:
+            for row in [r for r in self.rows.values() if self._may_hop(r)]:
+                self._retry_elsewhere(row, now_s)
+
+    def _may_hop(self, row):
+        """Return True for a request that may be repeated through an instance."""
+        attempt = row.attempt
+        return (
+            attempt is not None
+            and not attempt.is_hop
+            and row.route.idempotent
+            and not row.is_relayed
+        )
+
     def _is_stalled(self, row, now_s):
         """Return True when a retry is better than a further wait for the response."""
         attempt = row.attempt
@@ -233,32 +298,40 @@
             and row.attempt_count < row.route.max_attempts
         )
 
-    def _retry_stalled(self, row, now_s):
-        """Retry a request whose backend server is unresponsive, within the budget."""
-        member, attempt_id = row.attempt.member, row.attempt.attempt_id
+    def _retry_elsewhere(self, row, now_s):
+        """Retry a request whose backend server sends nothing, within the budget."""
+        attempt = row.attempt
         if not self._acquire_retry(row, now_s):
             return
-        row.may_have_run |= row.attempt.is_written
-        self.ctx.queue_action(Cancel(attempt_id))
-        self._record_failure(member, now_s)
+        row.may_have_run |= attempt.is_written
+        self.ctx.queue_action(Cancel(attempt.attempt_id))
+        self._record_failure(attempt, now_s)
         self._retry(row, now_s)
 
     # --- ending -----------------------------------------------------------
 
-    def _on_attempt_failed(self, row, now_s, reason, detail):
+    def _on_attempt_failed(self, row, now_s, reason, detail, retry_after_s=None):
         """Retry a request when that is safe, otherwise fail it."""
-        is_written = row.attempt.is_written
-        row.may_have_run |= is_written
-        if (row.route.idempotent or not is_written) and self._acquire_retry(row, now_s):
+        attempt = row.attempt
+        row.may_have_run |= attempt.is_written
+        row.attempt_count += attempt.is_hop and attempt.is_written
+        may_repeat = row.route.idempotent or not attempt.is_written
+        if may_repeat and self._acquire_retry(row, now_s):
             self._retry(row, now_s)
-        else:
-            self._fail_request(row, 503, reason, detail)
+        elif attempt.is_written or reason != "connection" or not self._hop(row, now_s):
+            self._fail_request(row, 503, reason, detail, retry_after_s)
         self.queue.dispatch_waiting(row.service, now_s)
 
+    def _hop(self, row, now_s):
+        """Send a request that reached no backend server through another instance."""
+        self._end_attempt(row)
+        return self.queue.try_hop(row, now_s)
+
     def _acquire_retry(self, row, now_s):
         """Return True and take from the retry budget if another attempt is possible."""
         return (
             row.request_id in self.rows
+            and self.queue.may_retry(row)
             and row.attempt_count < row.route.max_attempts
             and row.deadline_s - now_s > self.rules.min_attempt_s
             and self.ctx.budget(row.service).try_withdraw()
@@ -277,7 +350,7 @@
             row.may_have_run |= attempt.is_written
             self.ctx.queue_action(Cancel(attempt.attempt_id))
             if attempt.member.last_response_s < attempt.started_s:
-                self._record_failure(attempt.member, now_s)
+                self._record_failure(attempt, now_s)
         if row.is_relayed:
             self._remove(row)
         else:
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -37,6 +37,7 @@
         found_slot: True when the backend server was estimated to have a free slot.
         tier: Affinity tier of the backend server for the request's key.
         is_written: True once a byte may have reached the backend server.
+        is_hop: True when it goes through another entry instance.
     """
 
     attempt_id: int
@@ -45,6 +46,7 @@
     found_slot: bool
     tier: int
     is_written: bool = False
+    is_hop: bool = False
 
 
 @attrs.define
@@ -69,6 +71,9 @@
             request that can't be cancelled has disconnected.
         may_have_run: True when an attempt may have run.
         needs_permit: True while a permit for it is requested from another instance.
+        has_hopped: True when another entry instance sent it here; it takes no
+            second hop.
+        hop_count: Number of hops that were started.
     """
 
     request_id: int
@@ -88,3 +93,5 @@
     is_relayed: bool = False
     may_have_run: bool = False
     needs_permit: bool = False
+    has_hopped: bool = False
+    hop_count: int = 0
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -16,7 +16,9 @@
 from snipebay_policy.forward import ForwardSystem
 from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.rate_limits import RateLimitTable
+from snipebay_policy.reach import ReachMonitor
 from snipebay_policy.region_shares import RegionShares
+from snipebay_policy.relays import RelayTable
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_times import ServiceTimes
 from snipebay_policy.shares import ShareMeter
@@ -71,6 +73,8 @@
         view: Newest :class:`View` received.
         table: :class:`RouteTable` of the plan in force, or None.
         fleet: Backend servers.
+        reach: Whether backend servers are reached from here.
+        relays: Entry instances to send requests through when they are not.
         rate_limits: Rate limits that backend servers have named.
         commands: Commands to control.
         forward: Requests.
@@ -85,6 +89,8 @@
         self.table = None
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
         self.rate_limits = RateLimitTable(self.record_event)
+        self.reach = ReachMonitor()
+        self.relays = RelayTable(cfg.row)
         self.commands = CommandSystem(self, controls)
         self.forward = ForwardSystem(self, cfg.forward)
         self._seeds = tuple(controls)
@@ -173,12 +179,30 @@
             region: Region of the caller.
         """
         rows = [row for row in self.view.entries if not row.leaving]
+        rows = [row for row in rows if not self._is_stranded(row)] or rows
         same_domain = [row for row in rows if row.domain == domain]
         same_region = [row for row in rows if row.region == region]
         # With a single instance, its callers would have no other address when it fails.
         found = same_domain if len(same_domain) > 1 else same_region or rows
         return [row.address for row in found]
 
+    def _is_stranded(self, row):
+        """Return True if an entry instance reaches no backend server."""
+        if row.entry_id == self.row.entry_id:
+            return self.reach.is_stranded
+        return row.entry_id in self.relays.stranded
+
+    def on_reach_changed(self, now_s):
+        """Log and report that backend servers are no longer reached, or again."""
+        event = (
+            "backend servers out of reach"
+            if self.reach.is_stranded
+            else "backend servers in reach again"
+        )
+        self.record_event(event, self.row.entry_id, stranded=len(self.relays.stranded))
+        self.fleet.reset_failures(now_s)
+        self._renew(now_s)
+
     def update_seeds(self, controls):
         """Replace the configured control instances; others already known are kept."""
         self._seeds = tuple(controls)
@@ -282,6 +306,7 @@
             needs=dict(self._needs),
             rate_limits=self.rate_limits.news(now_s),
             rate_limits_version=self.rate_limits.version,
+            is_stranded=self.reach.is_stranded,
         )
         self.queue_action(Send(target, report))
 
@@ -314,6 +339,7 @@
             self._demand.setdefault(service, {})[region] = slots
         if msg.delta is not None and msg.delta.base <= self.view.revision:
             self._apply_delta(msg.delta, now_s)
+        self.relays.update_stranded(msg.stranded)
         version = msg.rate_limits_version
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
 
@@ -329,6 +355,7 @@
         for budget in self._budgets.values():
             budget.max_credit = self._max_retry_credit()
         self.fleet.apply_view(view, now_s)
+        self.relays.apply_view(view)
         self.rate_limits.apply_view(view)
         self.forward.queue.permits.apply_view(view)
         self._update_shares(now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/work.py
+++ b/packages/snipebay-policy/src/snipebay_policy/work.py
@@ -9,6 +9,7 @@
     "Attempt",
     "Cancel",
     "Dispatch",
+    "Probe",
     "Problem",
     "Relay",
     "Replay",
@@ -106,14 +107,16 @@
 
 @attrs.frozen
 class Dispatch:
-    """Send a request to a backend server.
+    """Send a request to a backend server, or through another entry instance.
 
     Attributes:
         request_id: Id of the request.
         attempt_id: Id of the attempt.
-        backend: Backend server to send it to.
+        backend: Backend server to send it to; for a hop, the entry instance.
         deadline_s: Time by which the response must be complete.
         reason: Inputs of the decision, for the log.
+        attempts_before_hop: For a hop, number of earlier attempts; None for a
+            backend server.
     """
 
     request_id: int
@@ -121,6 +124,14 @@
     backend: BackendRow
     deadline_s: float
     reason: dict = attrs.Factory(dict)
+    attempts_before_hop: int | None = None
+
+
+@attrs.frozen
+class Probe:
+    """Open a connection to a backend server, without a request."""
+
+    backend: BackendRow
 
 
 @attrs.frozen
--- a/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
@@ -11,7 +11,7 @@
 from snipebay_model.view import BackendRow, EntryRow
 from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.routed import RoutedConfig, RoutedCore
-from snipebay_policy.work import Cancel, Dispatch, Problem, Relay, Send
+from snipebay_policy.work import Cancel, Dispatch, Probe, Problem, Relay, Send
 
 from snipebay_testbed.control_rig import ControlRig
 
@@ -39,6 +39,7 @@
         rig: Harness that it belongs to.
         limit_per_s: Limit in its responses, None for none.
         arrivals: Pairs of time and id of the sending instance.
+        is_up: False while connections to it are refused.
         running: Attempts that occupy a slot.
         queue: Attempts that wait for one.
     """
@@ -46,6 +47,7 @@
     row: BackendRow
     rig: object
     limit_per_s: float | None = None
+    is_up: bool = True
     arrivals: list = attrs.Factory(list)
     running: set = attrs.Factory(set)
     queue: list = attrs.Factory(list)
@@ -120,6 +122,7 @@
         cut: How connections to all backend servers fail: ``hang``, ``refuse``, or
             empty while they are reached.
         tries: Pairs of arrival and whether it was answered, by request id.
+        paths: Path by request id.
     """
 
     def __init__(self, rig, row):
@@ -131,6 +134,8 @@
         self.answered = 0
         self.cut = ""
         self.tries = {}
+        self.paths = {}
+        self._hops = {}
         self._connected = set()
         self._deferred = []
         self._attempts = {}
@@ -182,7 +187,7 @@
         """Send a request as a caller."""
         request_id = next(self.rig.ids)
         self.tries[request_id] = (self.rig.now_s, False)
-        path = PREFIX if idempotent else UNSAFE_PREFIX
+        path = self.paths[request_id] = PREFIX if idempotent else UNSAFE_PREFIX
         self.run(
             lambda: self.core.forward.on_request(
                 request_id, HOST, path, timeout_s, self.rig.now_s
@@ -223,24 +228,97 @@
             case Cancel():
                 attempt = self._attempts.pop(action.attempt_id, None)
                 if attempt is not None:
+                    # Cancelling closes the connection.
                     self._connected.discard(attempt.backend)
                     attempt.backend.cancel(attempt)
             case Problem():
                 self.refusals.append((self.rig.now_s, action))
+                self._end_hop(action.request_id, action)
+            case Probe():
+                backend = self.rig.backends[action.backend.backend_id]
+                after_s = (
+                    CONNECT_TIMEOUT_S if self.cut == "hang" else 2 * REGION_DELAY_S
+                )
+                self.rig.scheduler.after(after_s, self.run, self._probe, backend)
             case Relay():
                 pass
 
     def _dispatch(self, action):
+        if action.attempts_before_hop is not None:
+            self._dispatch_hop(action)
+            return
         backend = self.rig.backends[action.backend.backend_id]
         attempt = _Attempt(action.attempt_id, action.request_id, self, backend)
         self._attempts[action.attempt_id] = attempt
-        if self.cut and backend not in self._connected:
+        is_lost = self.cut and backend not in self._connected
+        if is_lost or not backend.is_up:
             after_s = CONNECT_TIMEOUT_S if self.cut == "hang" else 0.0
             self.rig.scheduler.after(after_s, self.run, self._on_failure, attempt)
         elif self.core.forward.may_write(action.attempt_id, self.rig.now_s):
             self._connected.add(backend)
             self._send(attempt)
 
+    def _dispatch_hop(self, action):
+        peer = self.rig.host(action.backend.backend_id)
+        attempt = _Attempt(action.attempt_id, action.request_id, self, peer)
+        self._attempts[action.attempt_id] = attempt
+        self.core.forward.may_write(action.attempt_id, self.rig.now_s)
+        delay_s = self.rig.delay_s(self.row.domain, peer.row.domain)
+        self.rig.scheduler.after(
+            delay_s, peer.run, peer.receive_hop, attempt, action.attempts_before_hop
+        )
+
+    def receive_hop(self, attempt, attempts_before_hop):
+        """Handle a request that another instance sends through this one."""
+        request_id = next(self.rig.ids)
+        self._hops[request_id] = attempt
+        path = attempt.host.paths[attempt.request_id]
+        now_s = self.rig.now_s
+        self.core.forward.on_request(
+            request_id, HOST, path, 2.0, now_s, "", attempts_before_hop
+        )
+
+    def cancel(self, attempt):
+        """Cancel a request that another instance sent through this one."""
+        for request_id in [i for i, a in self._hops.items() if a is attempt]:
+            del self._hops[request_id]
+            self.run(self._disconnect, request_id)
+
+    def _disconnect(self, request_id):
+        self.core.forward.on_caller_disconnect(request_id, self.rig.now_s)
+
+    def _end_hop(self, request_id, problem=None):
+        """Return the result of a request to the instance that sent it here."""
+        attempt = self._hops.pop(request_id, None)
+        if attempt is not None:
+            origin = attempt.host
+            delay_s = self.rig.delay_s(self.row.domain, origin.row.domain)
+            callback = origin.on_hop_end
+            self.rig.scheduler.after(delay_s, origin.run, callback, attempt, problem)
+
+    def on_hop_end(self, attempt, problem):
+        """Handle the result of a request that was sent through an instance."""
+        if self._attempts.pop(attempt.attempt_id, None) is None:
+            return
+        forward, now_s = self.core.forward, self.rig.now_s
+        if problem is not None and problem.outcome == "not-run":
+            forward.on_rejection(attempt.attempt_id, "refused", now_s)
+            return
+        status = problem.status if problem else 200
+        forward.on_response(attempt.attempt_id, status, now_s)
+        forward.on_response_end(attempt.attempt_id, now_s)
+        if problem is None:
+            self._count_answer(attempt.request_id)
+
+    def _count_answer(self, request_id):
+        self.answered += 1
+        if request_id in self.tries:
+            self.tries[request_id] = (self.tries[request_id][0], True)
+
+    def _probe(self, backend):
+        is_connected = not self.cut and backend.is_up
+        self.core.forward.on_probe(is_connected, self.rig.now_s)
+
     def _send(self, attempt):
         """Send a written request, which a cut loses without notice."""
         backend = attempt.backend
@@ -273,9 +351,10 @@
             return
         forward.on_response(attempt.attempt_id, 200, now_s)
         forward.on_response_end(attempt.attempt_id, now_s)
-        self.answered += 1
-        arrived_s, _ = self.tries[attempt.request_id]
-        self.tries[attempt.request_id] = (arrived_s, True)
+        if attempt.request_id in self._hops:
+            self._end_hop(attempt.request_id)
+        else:
+            self._count_answer(attempt.request_id)
 
 
 class RoutedRig:
@@ -314,6 +393,10 @@
     def now_s(self):
         return self.scheduler.now_s
 
+    def host(self, entry_id):
+        """Return the host of an entry instance."""
+        return next(host for host in self.entries if host.id == entry_id)
+
     def start(self):
         """Start the deployment, wait until all instances have the plan, return self."""
         self.control.elect()
