Ignore rate limits in late responses of backend servers that have left

Cause: limits were recorded for rows that the view no longer holds. Evidence: test_limit_in_a_late_response_is_ignored fails before with KeyError: 'i1'. Change: the table records limits of current incarnations only.

--- a/packages/snipebay-policy/src/snipebay_policy/rate_limits.py
+++ b/packages/snipebay-policy/src/snipebay_policy/rate_limits.py
@@ -111,11 +111,15 @@
     def record(self, row, per_s, now_s):
         """Record what a response said of the limit.
 
+        Responses of backend servers that have left the view are ignored.
+
         Args:
             row: :class:`BackendRow` of the backend server.
             per_s: Requests per second that it named, or None if it named no limit.
             now_s: Time of the response.
         """
+        if self._born_ms.get(row.backend_id) != row.born_ms:
+            return
         known = self._rows.get(row.backend_id)
         if per_s is not None:
             per_s = min(per_s, MAX_RATE_PER_S)
--- a/packages/snipebay-policy/tests/test_permits.py
+++ b/packages/snipebay-policy/tests/test_permits.py
@@ -110,6 +110,18 @@
         self.assertTrue(self.ask(self.owner, tier=2).granted)
 
 
+class TestRemovedBackendServer(PermitCase):
+    """The last response of a server that has left must not bring its limit back."""
+
+    def test_limit_in_a_late_response_is_ignored(self):
+        core = self.cores[self.other]
+        delta = ViewDelta(1, 2, backends_gone=("i1",))
+        core.receive("c1", RenewReply("c1", True, quorum_revision=2, delta=delta), 0.1)
+        core.rate_limits.record(BACKEND, LIMIT_PER_S, 0.2)
+        core.tick(0.5)
+        self.assertEqual(list(core.rate_limits), [])
+
+
 class TestAsking(PermitCase):
     """A request must not wait for an owner that is frozen or cut off."""
 
--- a/packages/snipebay-policy/tests/test_rate_limits.py
+++ b/packages/snipebay-policy/tests/test_rate_limits.py
@@ -16,6 +16,7 @@
     def setUp(self):
         self.events = []
         self.table = RateLimitTable(lambda *args, **fields: self.events.append(args[0]))
+        self.table.apply_view(View(1, backends=(ROW,)))
 
     def name(self, per_s, now_s=0.0):
         self.table.record(ROW, per_s, now_s)
@@ -46,7 +47,6 @@
         self.assertIsNone(self.table.get("i1"))
 
     def test_newer_report_of_an_end_replaces_older_knowledge(self):
-        self.table.apply_view(View(1, backends=(ROW,)))
         self.name(4.0)
         ended = RateLimitReport("i1", 7, 4.0, True, 10_000)
         self.table.apply_control((ended,), (1, 1), 20.0)
@@ -54,13 +54,11 @@
         self.assertIsNone(self.table.get("i1"))
 
     def test_older_report_changes_nothing(self):
-        self.table.apply_view(View(1, backends=(ROW,)))
         self.name(4.0, 9.5)
         self.table.merge(RateLimitReport("i1", 7, 1.0, True, 2_000), 10.0)
         self.assertEqual(self.table.get("i1").per_s, 4.0)
 
     def test_only_what_control_does_not_know_is_reported(self):
-        self.table.apply_view(View(1, backends=(ROW,)))
         self.name(4.0, 1.0)
         (report,) = self.table.news(1.5)
         self.assertEqual((report.per_s, report.age_ms), (4.0, 500))
