--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -6,7 +6,11 @@
 
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.log_sink import RequestLog
-from snipebay_node.rate_limit_header import parse_rate_limit
+from snipebay_node.response_headers import (
+    parse_load,
+    parse_rate_limit,
+    parse_retry_after,
+)
 from snipebay_node.upstream import (
     MISDIRECTED_REQUEST,
     UpstreamPool,
@@ -299,7 +303,7 @@
             reason,
             self.clock(),
             is_misdirected=is_misdirected,
-            retry_after_s=_retry_after_s(dict(headers)),
+            retry_after_s=parse_retry_after(dict(headers).get(b"retry-after", b"")),
         )
         self.run_actions()
 
@@ -328,10 +332,9 @@
 
     def _report_load(self, attempt_id, headers):
         """Pass the load that a backend server reports in a header to the core."""
-        parts = headers.get(self.header_names.load, b"").split(b",")
-        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
-            running, waiting = int(parts[0]), int(parts[1])
-            self.core.forward.on_load_report(attempt_id, running, waiting, self.clock())
+        load = parse_load(headers.get(self.header_names.load, b""))
+        if load is not None:
+            self.core.forward.on_load_report(attempt_id, *load, self.clock())
 
     def _report_rate_limit(self, attempt_id, headers):
         """Pass the rate limit that a backend server named, or did not, to the core."""
@@ -391,10 +394,3 @@
             elapsed_s=round(elapsed_s, 3),
             **{"service": request.service, "kind": request.kind, **decision},
         )
-
-
-def _retry_after_s(headers):
-    """Return the delay in a Retry-After header, or None without a usable one."""
-    value = headers.get(b"retry-after", b"").decode("latin-1").strip()
-    is_number = value.isascii() and value.replace(".", "", 1).isdigit()
-    return float(value) if is_number and len(value) < 10 else None
--- a/packages/snipebay-node/tests/test_rate_limit_header.py
+++ b/packages/snipebay-node/tests/test_response_headers.py
@@ -1,8 +1,8 @@
-"""Tests of the header in which backend servers name their rate limits."""
+"""Tests of the headers of backend servers' responses."""
 
 import unittest
 
-from snipebay_node.rate_limit_header import parse_rate_limit
+from snipebay_node.response_headers import parse_rate_limit, parse_retry_after
 from snipebay_testbed.forwarder_case import RESPONSE, ForwarderCase
 
 INVALID = (
@@ -36,6 +36,15 @@
                 parse_rate_limit([value])
 
 
+class TestRetryAfter(unittest.TestCase):
+    def test_seconds_with_fractions(self):
+        self.assertEqual(parse_retry_after(b" 0.7"), 0.7)
+
+    def test_dates_and_nonsense_are_no_delay(self):
+        for value in (b"", b"-1", b"nan", b"Fri, 04 Dec 2026 17:00:00 GMT", b"9" * 99):
+            self.assertIsNone(parse_retry_after(value))
+
+
 class TestReporting(ForwarderCase):
     """A limit that is not read lets every instance exceed it."""
 
