Close the caller's connection when the deadline passes in mid-response

What callers saw: a response without end, or one that stalled, was cut off at the deadline, but the caller's connection stayed open until it left by itself. Cause: the cancelled attempt was forgotten and the exchange was not ended. Evidence: test_body_ends_visibly_at_the_deadline fails before (the caller's connection is open, the forwarder is not idle). Endless status lines, headers, chunk headers and trailers were bounded already by the parser; tests hold that now. Change: cancelling an attempt whose response is relayed aborts the exchange.

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -224,7 +224,10 @@
 
     def _cancel(self, action):
         self.pool.cancel(action.attempt_id)
-        self._end_attempt(action.attempt_id, "cancelled")
+        request_id = self._end_attempt(action.attempt_id, "cancelled")
+        self._abort_relayed(
+            request_id, action.attempt_id, "the deadline has passed", "deadline"
+        )
 
     def _relay(self, action):
         request = self._active.get(action.request_id)
@@ -310,11 +313,7 @@
     def on_failure(self, attempt_id, reason):
         request_id = self._end_attempt(attempt_id, "failed")
         self._log_failed_attempt(request_id, reason)
-        request = self._active.get(request_id)
-        if request is not None and request.relayed_attempt_id == attempt_id:
-            del self._active[request_id]
-            request.exchange.abort()
-            self._record_end(request, reason, reason="connection")
+        self._abort_relayed(request_id, attempt_id, reason, "connection")
         self.core.forward.on_failure(attempt_id, reason, self.clock())
         self.run_actions()
 
@@ -352,6 +351,14 @@
         if request is not None and request.relayed_attempt_id:
             self.pool.set_paused(request.relayed_attempt_id, False)
 
+    def _abort_relayed(self, request_id, attempt_id, outcome, reason):
+        """Close the caller's connection if a response ends before it is complete."""
+        request = self._active.get(request_id)
+        if request is not None and request.relayed_attempt_id == attempt_id:
+            del self._active[request_id]
+            request.exchange.abort()
+            self._record_end(request, outcome, reason=reason)
+
     def _end_attempt(self, attempt_id, outcome):
         """Discard an ended attempt, count its outcome and return its request's id."""
         self._responses.pop(attempt_id, None)
--- /dev/null
+++ b/packages/snipebay-node/tests/test_endless_bytes.py
@@ -0,0 +1,74 @@
+"""Tests of backend servers that send bytes without end, on fake streams."""
+
+import unittest
+
+from snipebay_testbed.forwarder_case import RESPONSE, ForwarderCase
+
+CHUNK = b"x" * 8_192
+MAX_CHUNKS = 64
+HEAD = b"HTTP/1.1 200 OK\r\nId: 7\r\n"
+
+
+class TestEndlessBytes(ForwarderCase):
+    """A backend server that never ends a head or body must not hold on to a request."""
+
+    def feed(self, chunk=CHUNK, start=b""):
+        """Send bytes until the stream is closed; return how many were taken."""
+        self.send_request()
+        stream = self.backend_stream()
+        if start:
+            stream.on_data(start)
+        for count in range(MAX_CHUNKS):
+            if not stream.is_open:
+                return count * len(chunk)
+            stream.on_data(chunk)
+        return MAX_CHUNKS * len(chunk)
+
+    def assert_bounded_and_retried(self, taken):
+        self.assertLess(taken, MAX_CHUNKS * len(CHUNK) // 2)
+        self.assertFalse(self.hub.streams[0].is_open)
+        self.backend_stream(1).on_data(RESPONSE)
+        self.assertEqual(self.response.count(b"200"), 1)
+
+    def test_status_line(self):
+        self.assert_bounded_and_retried(self.feed())
+
+    def test_header_value(self):
+        self.assert_bounded_and_retried(self.feed(start=HEAD + b"Long: "))
+
+    def test_headers(self):
+        self.assert_bounded_and_retried(self.feed(b"Name: value\r\n" * 600, HEAD))
+
+    def test_chunk_header(self):
+        start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;"
+        self.assert_bounded_and_retried(self.feed(start=start))
+
+    def test_trailers(self):
+        start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
+        self.assert_bounded_and_retried(self.feed(b"Name: value\r\n" * 600, start))
+
+    def test_body_ends_visibly_at_the_deadline(self):
+        self.send_request()
+        stream = self.backend_stream()
+        stream.on_data(HEAD + b"\r\n")
+        while len(self.response) < 20 * len(CHUNK):
+            stream.on_data(CHUNK)
+        self.now_s = 2.5
+        self.core.tick(self.now_s)
+        self.run_actions()
+        self.assertFalse(stream.is_open)
+        self.assertFalse(self.caller.is_open)
+        self.assertFalse(self.response.endswith(b"0\r\n\r\n"))
+        self.assertTrue(self.forwarder.is_idle)
+
+    def test_bytes_after_a_response(self):
+        self.send_request()
+        stream = self.backend_stream()
+        stream.on_data(RESPONSE)
+        stream.on_data(CHUNK)
+        self.assertFalse(stream.is_open)
+        self.assertEqual(self.response.count(b"200"), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
