Do not read the body of a refusal to its end

What callers saw: a backend server that refused a request and then sent a body without end kept it until its deadline, though the head says that it did not run. Cause: the refusal was reported at the end of the message only.

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -4,13 +4,9 @@
 import structlog
 from snipebay_policy.work import Cancel, Dispatch, Probe, Problem, Relay
 
+from snipebay_node import response_headers
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.log_sink import RequestLog
-from snipebay_node.response_headers import (
-    parse_load,
-    parse_rate_limit,
-    parse_retry_after,
-)
 from snipebay_node.upstream import (
     MISDIRECTED_REQUEST,
     UpstreamPool,
@@ -306,7 +302,9 @@
             reason,
             self.clock(),
             is_misdirected=is_misdirected,
-            retry_after_s=parse_retry_after(dict(headers).get(b"retry-after", b"")),
+            retry_after_s=response_headers.parse_retry_after(
+                dict(headers).get(b"retry-after", b"")
+            ),
         )
         self.run_actions()
 
@@ -331,7 +329,7 @@
 
     def _report_load(self, attempt_id, headers):
         """Pass the load that a backend server reports in a header to the core."""
-        load = parse_load(headers.get(self.header_names.load, b""))
+        load = response_headers.parse_load(headers.get(self.header_names.load, b""))
         if load is not None:
             self.core.forward.on_load_report(attempt_id, *load, self.clock())
 
@@ -339,7 +337,7 @@
         """Pass the rate limit that a backend server named, or did not, to the core."""
         values = [v for name, v in headers if name == self.header_names.rate_limit]
         try:
-            per_s = parse_rate_limit(values)
+            per_s = response_headers.parse_rate_limit(values)
         except ValueError as exc:
             # The limit named before stays in force.
             self.core.forward.on_invalid_rate_limit(attempt_id, str(exc))
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -220,6 +220,7 @@
         self._response = None
         self._body = bytearray()
         self._is_not_run = False
+        self._refusal_bytes = 0
         self.idle_timeout_s = IDLE_TIMEOUT_S
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
@@ -231,6 +232,7 @@
         self._response = None
         self._body = bytearray()
         self._is_not_run = False
+        self._refusal_bytes = 0
         if not self.stream.is_open:
             self._fail("no connection")
         elif not self.stream.is_connecting:
@@ -297,7 +299,9 @@
         listener, attempt_id = self.pool.listener, self.req.attempt_id
         if isinstance(event, h11.Response):
             self._on_head(event, listener, attempt_id)
-        elif isinstance(event, h11.Data) and not self._is_not_run:
+        elif isinstance(event, h11.Data) and self._is_not_run:
+            self._on_refusal_body(event.data)
+        elif isinstance(event, h11.Data):
             if len(self._body) <= MAX_BUFFERED_BODY_BYTES:
                 self._body += event.data
             listener.on_data(attempt_id, bytes(event.data))
@@ -332,6 +336,12 @@
                     IDLE_TIMEOUT_S, KEEP_ALIVE_FRACTION * int(seconds)
                 )
 
+    def _on_refusal_body(self, data):
+        """Discard the body of a refusal; the head has said all that counts."""
+        self._refusal_bytes += len(data)
+        if self._refusal_bytes > MAX_BUFFERED_BODY_BYTES:
+            self._on_message_end(self.pool.listener, self.req.attempt_id)
+
     def _on_message_end(self, listener, attempt_id):
         req, self.req = self.req, None
         self.pool.release(attempt_id)
--- a/packages/snipebay-node/tests/test_endless_bytes.py
+++ b/packages/snipebay-node/tests/test_endless_bytes.py
@@ -47,6 +47,10 @@
         start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
         self.assert_bounded_and_retried(self.feed(b"Name: value\r\n" * 600, start))
 
+    def test_body_of_a_refusal(self):
+        start = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n"
+        self.assert_bounded_and_retried(self.feed(start=start))
+
     def test_body_ends_visibly_at_the_deadline(self):
         self.send_request()
         stream = self.backend_stream()
