Limit the informational responses before a response

What callers saw: a backend server that sent informational responses without end kept a request, and an entry instance busy, until the deadline. Cause: each of them is a whole head, so the parser's limit on heads never applied. Evidence: test_informational_responses fails before (537,600 bytes taken). Change: the seventeenth ends the attempt, which is retried where that is safe.

--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -20,6 +20,7 @@
 # Idle connections are kept for this fraction of the backend server's announced
 # keep-alive timeout, so that it does not close one while a request is in transit.
 KEEP_ALIVE_FRACTION = 0.6
+MAX_INFORMATIONAL_RESPONSES = 16
 MISDIRECTED_REQUEST = 421
 HOP_BY_HOP_HEADERS = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection "
@@ -221,6 +222,7 @@
         self._body = bytearray()
         self._is_not_run = False
         self._refusal_bytes = 0
+        self._informational_count = 0
         self.idle_timeout_s = IDLE_TIMEOUT_S
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
@@ -233,6 +235,7 @@
         self._body = bytearray()
         self._is_not_run = False
         self._refusal_bytes = 0
+        self._informational_count = 0
         if not self.stream.is_open:
             self._fail("no connection")
         elif not self.stream.is_connecting:
@@ -297,7 +300,9 @@
 
     def _handle_event(self, event):
         listener, attempt_id = self.pool.listener, self.req.attempt_id
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._on_informational()
+        elif isinstance(event, h11.Response):
             self._on_head(event, listener, attempt_id)
         elif isinstance(event, h11.Data) and self._is_not_run:
             self._on_refusal_body(event.data)
@@ -336,6 +341,13 @@
                     IDLE_TIMEOUT_S, KEEP_ALIVE_FRACTION * int(seconds)
                 )
 
+    def _on_informational(self):
+        """Skip an informational response, up to a number that a server may need."""
+        self._informational_count += 1
+        if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
+            self._fail("too many informational responses")
+            self.stream.abort()
+
     def _on_refusal_body(self, data):
         """Discard the body of a refusal; the head has said all that counts."""
         self._refusal_bytes += len(data)
--- a/packages/snipebay-node/tests/test_endless_bytes.py
+++ b/packages/snipebay-node/tests/test_endless_bytes.py
@@ -39,6 +39,10 @@
     def test_headers(self):
         self.assert_bounded_and_retried(self.feed(b"Name: value\r\n" * 600, HEAD))
 
+    def test_informational_responses(self):
+        chunk = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 300
+        self.assert_bounded_and_retried(self.feed(chunk))
+
     def test_chunk_header(self):
         start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;"
         self.assert_bounded_and_retried(self.feed(start=start))
