Read the headers of a complete response as pairs in the proxy too

The platform's nodes use the forwarder and were not affected. Change: the proxy makes a mapping itself.

--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -238,7 +238,7 @@
     def on_end(self, attempt_id, status, headers, body):
         request_id = self._end_attempt(attempt_id, str(status))
         request = self._active.get(request_id)
-        content_type = headers.get(b"content-type", b"").decode("latin-1")
+        content_type = dict(headers).get(b"content-type", b"").decode("latin-1")
         if request is not None and request.relayed_attempt_id == attempt_id:
             del self._active[request_id]
             request.exchange.finish()
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -90,7 +90,8 @@
         listener: Has ``may_write(attempt_id)``, ``on_head(attempt_id, status,
             headers)``, ``on_data(attempt_id, data)``, ``on_end(attempt_id,
             status, headers, body)``, ``on_not_run(attempt_id, status,
-            headers)`` and ``on_failure(attempt_id, reason)``.
+            headers)`` and ``on_failure(attempt_id, reason)``. Headers are pairs of
+            name and value, as bytes.
         header_names: Names of the headers exchanged with backend servers.
     """
 
