--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 soak: $(VENV)/ready  ## check the invariants with more random seeds
 	$(BIN)/python -m snipebay_testbed.soak --seeds $(SEEDS)
+	$(BIN)/python -m snipebay_testbed.routed_soak --seeds $(SEEDS)
 
 bench: $(VENV)/ready  ## benchmark request routing in virtual time
 	$(BIN)/python -m snipebay_testbed.bench --seed $(SEED)
--- a/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
@@ -87,6 +87,7 @@
         while self.queue and len(self.running) < self.row.slots:
             attempt = self.queue.pop(0)
             self.running.add(attempt)
+            self.rig.runs[attempt.origin] += 1
             spread = 0.5 + float(self.rig.rng.random())
             self.rig.scheduler.after(SERVICE_S * spread, self._end, attempt)
 
@@ -99,12 +100,21 @@
 
 @attrs.define(eq=False)
 class _Attempt:
-    """A request on its way to a backend server."""
+    """A request on its way to a backend server or another instance.
+
+    Attributes:
+        attempt_id: Id of the attempt.
+        request_id: Id of the request at the instance that sends it.
+        host: That instance.
+        backend: Backend server, or the other instance.
+        origin: Id of the request at the instance that its caller sent it to.
+    """
 
     attempt_id: int
     request_id: int
     host: object
-    backend: LimitedBackend
+    backend: object
+    origin: int
 
 
 class RoutedHost:
@@ -123,6 +133,7 @@
             empty while they are reached.
         tries: Pairs of arrival and whether it was answered, by request id.
         paths: Path by request id.
+        hops: Attempts of other instances that go through this one, by request id.
     """
 
     def __init__(self, rig, row):
@@ -135,7 +146,7 @@
         self.cut = ""
         self.tries = {}
         self.paths = {}
-        self._hops = {}
+        self.hops = {}
         self._connected = set()
         self._deferred = []
         self._attempts = {}
@@ -248,7 +259,9 @@
             self._dispatch_hop(action)
             return
         backend = self.rig.backends[action.backend.backend_id]
-        attempt = _Attempt(action.attempt_id, action.request_id, self, backend)
+        hop = self.hops.get(action.request_id)
+        origin = hop.request_id if hop is not None else action.request_id
+        attempt = _Attempt(action.attempt_id, action.request_id, self, backend, origin)
         self._attempts[action.attempt_id] = attempt
         is_lost = self.cut and backend not in self._connected
         if is_lost or not backend.is_up:
@@ -260,7 +273,8 @@
 
     def _dispatch_hop(self, action):
         peer = self.rig.host(action.backend.backend_id)
-        attempt = _Attempt(action.attempt_id, action.request_id, self, peer)
+        request_id = action.request_id
+        attempt = _Attempt(action.attempt_id, request_id, self, peer, request_id)
         self._attempts[action.attempt_id] = attempt
         self.core.forward.may_write(action.attempt_id, self.rig.now_s)
         delay_s = self.rig.delay_s(self.row.domain, peer.row.domain)
@@ -271,7 +285,7 @@
     def receive_hop(self, attempt, attempts_before_hop):
         """Handle a request that another instance sends through this one."""
         request_id = next(self.rig.ids)
-        self._hops[request_id] = attempt
+        self.hops[request_id] = attempt
         path = attempt.host.paths[attempt.request_id]
         now_s = self.rig.now_s
         self.core.forward.on_request(
@@ -280,8 +294,8 @@
 
     def cancel(self, attempt):
         """Cancel a request that another instance sent through this one."""
-        for request_id in [i for i, a in self._hops.items() if a is attempt]:
-            del self._hops[request_id]
+        for request_id in [i for i, a in self.hops.items() if a is attempt]:
+            del self.hops[request_id]
             self.run(self._disconnect, request_id)
 
     def _disconnect(self, request_id):
@@ -289,7 +303,7 @@
 
     def _end_hop(self, request_id, problem=None):
         """Return the result of a request to the instance that sent it here."""
-        attempt = self._hops.pop(request_id, None)
+        attempt = self.hops.pop(request_id, None)
         if attempt is not None:
             origin = attempt.host
             delay_s = self.rig.delay_s(self.row.domain, origin.row.domain)
@@ -351,7 +365,7 @@
             return
         forward.on_response(attempt.attempt_id, 200, now_s)
         forward.on_response_end(attempt.attempt_id, now_s)
-        if attempt.request_id in self._hops:
+        if attempt.request_id in self.hops:
             self._end_hop(attempt.request_id)
         else:
             self._count_answer(attempt.request_id)
@@ -364,6 +378,10 @@
         entries: Number of entry instances, over three regions of two domains.
         backends: Number of backend servers, spread likewise.
         seed: Random seed.
+
+    Attributes:
+        runs: How often each request was started by a backend server, by its id at
+            the first instance.
     """
 
     def __init__(self, entries, backends, seed):
@@ -379,6 +397,7 @@
         self.network = self.control.network
         self.rng = self.control.rng
         self.ids = itertools.count(1)
+        self.runs = collections.Counter()
         self._domains = {}
         self.entries = [
             RoutedHost(self, self._entry_row(number)) for number in range(entries)
