--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -37,7 +37,7 @@
         yield _gauge("view_age_seconds", "Time since control confirmed it.", age_s)
         reach = entry.reach
         yield _gauge("stranded", "1 while it reaches no server.", reach.is_stranded)
-        others = len(entry.relays.stranded)
+        others = len(entry.hop_table.stranded)
         yield _gauge("stranded_instances", "Instances that reach none.", others)
         slots = _service_gauge("slots", "Slots of backend servers in view.", "state")
         backends = _service_gauge("backends", "Backend servers in view.", "state")
--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -117,7 +117,7 @@
         if row.has_hopped or row.hop_count >= MAX_HOPS:
             return False
         exclude = row.excluded_backends
-        member = self.ctx.relays.choose(row.route.allowed_regions, exclude)
+        member = self.ctx.hop_table.choose(row.route.allowed_regions, exclude)
         if member is None:
             return False
         row.hop_count += 1
--- a/packages/snipebay-policy/src/snipebay_policy/relays.py
+++ b/packages/snipebay-policy/src/snipebay_policy/hop_table.py
@@ -5,10 +5,10 @@
 from snipebay_policy.fleet_rows import Member
 from snipebay_policy.routes import Split
 
-__all__ = ["RelayTable"]
+__all__ = ["HopTable"]
 
 
-class RelayTable:
+class HopTable:
     """Other entry instances that reach backend servers.
 
     Args:
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -15,10 +15,10 @@
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.forward import ForwardSystem
 from snipebay_policy.forward_rows import ForwardRules
+from snipebay_policy.hop_table import HopTable
 from snipebay_policy.rate_limits import RateLimitTable
 from snipebay_policy.reach import ReachMonitor
 from snipebay_policy.region_shares import RegionShares
-from snipebay_policy.relays import RelayTable
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_times import ServiceTimes
 from snipebay_policy.shares import ShareMeter
@@ -74,7 +74,7 @@
         table: :class:`RouteTable` of the plan in force, or None.
         fleet: Backend servers.
         reach: Whether backend servers are reached from here.
-        relays: Entry instances to send requests through when they are not.
+        hop_table: Entry instances to send requests through when they are not.
         rate_limits: Rate limits that backend servers have named.
         commands: Commands to control.
         forward: Requests.
@@ -90,7 +90,7 @@
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
         self.rate_limits = RateLimitTable(self.record_event)
         self.reach = ReachMonitor()
-        self.relays = RelayTable(cfg.row)
+        self.hop_table = HopTable(cfg.row)
         self.commands = CommandSystem(self, controls)
         self.forward = ForwardSystem(self, cfg.forward)
         self._seeds = tuple(controls)
@@ -190,7 +190,7 @@
         """Return True if an entry instance reaches no backend server."""
         if row.entry_id == self.row.entry_id:
             return self.reach.is_stranded
-        return row.entry_id in self.relays.stranded
+        return row.entry_id in self.hop_table.stranded
 
     def on_reach_changed(self, now_s):
         """Log and report that backend servers are no longer reached, or again."""
@@ -199,7 +199,9 @@
             if self.reach.is_stranded
             else "backend servers in reach again"
         )
-        self.record_event(event, self.row.entry_id, stranded=len(self.relays.stranded))
+        self.record_event(
+            event, self.row.entry_id, stranded=len(self.hop_table.stranded)
+        )
         self.fleet.reset_failures(now_s)
         self._renew(now_s)
 
@@ -339,7 +341,7 @@
             self._demand.setdefault(service, {})[region] = slots
         if msg.delta is not None and msg.delta.base <= self.view.revision:
             self._apply_delta(msg.delta, now_s)
-        self.relays.update_stranded(msg.stranded)
+        self.hop_table.update_stranded(msg.stranded)
         version = msg.rate_limits_version
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
 
@@ -355,7 +357,7 @@
         for budget in self._budgets.values():
             budget.max_credit = self._max_retry_credit()
         self.fleet.apply_view(view, now_s)
-        self.relays.apply_view(view)
+        self.hop_table.apply_view(view)
         self.rate_limits.apply_view(view)
         self.forward.queue.permits.apply_view(view)
         self._update_shares(now_s)
--- a/packages/snipebay-policy/tests/test_reach.py
+++ b/packages/snipebay-policy/tests/test_reach.py
@@ -4,6 +4,7 @@
 import unittest
 
 from snipebay_model.view import BackendRow, EntryRow, View
+from snipebay_policy.hop_table import HopTable
 from snipebay_policy.reach import (
     PROBE_INTERVAL_S,
     SILENCE_S,
@@ -11,7 +12,6 @@
     Reach,
     ReachMonitor,
 )
-from snipebay_policy.relays import RelayTable
 
 TICK_S = 0.025
 DOMAINS = ("a-1", "a-2", "b-1", "b-2")
@@ -130,7 +130,7 @@
         self.assertEqual({row.domain for row in probes}, set(DOMAINS))
 
 
-class TestRelayTable(unittest.TestCase):
+class TestHopTable(unittest.TestCase):
     """A hop must not leave the regions of a route, nor end at a stranded instance."""
 
     def setUp(self):
@@ -139,7 +139,7 @@
             EntryRow(f"e{n}", "x", f"10.0.0.{n}:80", f"e{n}", domain[0], domain)
             for n, domain in enumerate(domains)
         ]
-        self.table = RelayTable(rows[0])
+        self.table = HopTable(rows[0])
         self.table.apply_view(View(1, entries=tuple(rows)))
 
     def choose(self, allowed=(), exclude=()):
