Hop with a request whose permit arrives after the reach was lost

Found by reading. Evidence: test_granted_request_hops_when_the_reach_was_lost_meanwhile fails before.

--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -130,7 +130,7 @@
         if row.request_id not in self.waiting.get(row.service, {}):
             # Its caller has left, or its deadline has passed.
             return
-        if permission is Permission.GRANTED:
+        if permission is Permission.GRANTED and not self.ctx.reach.is_stranded:
             self._dispatch(row, choice, now_s)
         else:
             self.dispatch_waiting(row.service, now_s)
--- a/packages/snipebay-policy/tests/test_permits.py
+++ b/packages/snipebay-policy/tests/test_permits.py
@@ -6,6 +6,7 @@
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
 from snipebay_policy.permits import REPLY_TIMEOUT_S, UNSURE_SHARE
+from snipebay_policy.reach import Reach
 from snipebay_policy.routed import RoutedConfig, RoutedCore
 from snipebay_policy.work import Dispatch, Problem, Send
 
@@ -158,6 +159,14 @@
         ]
         self.assertEqual([a.target for a in actions], [self.deputy])
 
+    def test_granted_request_hops_when_the_reach_was_lost_meanwhile(self):
+        target, request = self.request_of(self.arrive())
+        core = self.cores[self.other]
+        core.reach.state = Reach.STRANDED
+        core.receive(target, PermitReply(request.permit_id, True), 0.01)
+        (dispatch,) = core.pop_actions()
+        self.assertIn(dispatch.backend.backend_id, (self.owner, self.deputy))
+
     def test_late_reply_is_ignored(self):
         target, request = self.request_of(self.arrive())
         core = self.cores[self.other]
