--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -225,6 +225,8 @@
             self.hub.tick(now_s)
             self.metrics.revision.set(self.entry.ctx.view.revision)
             self.metrics.set_decisions(self.entry.ctx.counts)
+            for event, subject, fields in self.entry.ctx.pop_events():
+                self.changes.record(now_s, event, subject, **fields)
         self.run_actions()
         self.changes.tick(now_s)
         if now_s >= self._next_cleanup_s:
--- a/packages/snipebay-policy/src/snipebay_policy/context.py
+++ b/packages/snipebay-policy/src/snipebay_policy/context.py
@@ -15,6 +15,7 @@
 from snipebay_policy.lease_state import LeaseState
 from snipebay_policy.lookup import BlockTable, EntryRanking
 from snipebay_policy.shares import LinkMeter, Ramp, ShareMeter
+from snipebay_policy.slot_limits import SlotLimits
 from snipebay_policy.slots import SlotTable
 
 __all__ = ["EntryConfig", "EntryContext"]
@@ -62,8 +63,10 @@
         self.backends = {}
         self.health = HealthTable()
         self.slots = SlotTable(self.entry_id, self.region, cfg.takeover_delay_s)
+        self.slot_limits = SlotLimits(self.slots, self.record_event)
         self.lease_state = LeaseState(self.entry_id, self.region, cfg.peer_timeout_s)
         self.counts = collections.Counter()
+        self._events = []
         self.waiting = {}
         # Ids of draining backend servers, with the view revision when they were marked.
         self.leaving = {}
@@ -85,6 +88,7 @@
         self.backends = {row.backend_id: row for row in view.backends}
         self.health.apply_view(view, self.rules, now_s)
         self.slots.apply_view(view, now_s)
+        self.slot_limits.apply_view(view)
 
     def _apply_settings(self, text):
         result = parse_settings(text)
@@ -108,6 +112,15 @@
             self._rules[service] = self.settings.rules(service) if is_known else Rules()
         return self._rules[service]
 
+    def record_event(self, event, subject, **fields):
+        """Queue an event for the log, see :meth:`pop_events`."""
+        self._events.append((event, subject, fields))
+
+    def pop_events(self):
+        """Empty the event queue; return triples of event, subject and fields."""
+        events, self._events = self._events, []
+        return events
+
     def may_serve(self, now_s):
         """Return True while this instance may dispatch to backend servers."""
         return self.lease_state.may_serve(self.view, now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/entry.py
+++ b/packages/snipebay-policy/src/snipebay_policy/entry.py
@@ -74,6 +74,7 @@
         """Run all work that depends on the current time."""
         self.commands.tick(now_s)
         self.ctx.slots.process_timeouts(self.ctx.settled_floor, now_s)
+        self.ctx.slot_limits.tick(now_s)
         self.requests.tick(now_s)
         self.loans.tick(now_s)
         if now_s >= self._next_renew_s:
--- a/packages/snipebay-policy/src/snipebay_policy/loans.py
+++ b/packages/snipebay-policy/src/snipebay_policy/loans.py
@@ -199,7 +199,10 @@
         free = [
             holding
             for holding in self.ctx.slots.free_slots(msg.service, msg.region, now_s)
-            if not holding.lender and self.ctx.is_open(holding.slot.backend_id)
+            if not holding.lender
+            and self.ctx.is_open(holding.slot.backend_id)
+            # The part of a rate limit stays with the owner of the slot.
+            and not self.ctx.slot_limits.is_limited(holding.slot.backend_id)
         ]
         if self.ctx.waiting_count(msg.service):
             return []
--- a/packages/snipebay-policy/src/snipebay_policy/placement.py
+++ b/packages/snipebay-policy/src/snipebay_policy/placement.py
@@ -96,6 +96,7 @@
             if self.ctx.health.is_usable(holding.slot.backend_id, now_s)
             and self.ctx.is_open(holding.slot.backend_id)
             and holding.slot.backend_id not in row.excluded_backends
+            and self.ctx.slot_limits.may_send(holding.slot.backend_id, now_s)
         ]
         if not usable:
             return None
--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -127,6 +127,23 @@
         row.attempts[attempt_id].is_written = True
         return True
 
+    def on_rate_limit(self, attempt_id, per_s, now_s):
+        """Record the rate limit that a response named, None if it named none."""
+        row = self._rows_by_attempt.get(attempt_id)
+        backend = self.ctx.backends.get(self._backend_id(row, attempt_id))
+        if backend is not None:
+            self.ctx.slot_limits.table.record(backend, per_s, now_s)
+
+    def on_invalid_rate_limit(self, attempt_id, detail):
+        """Log a rate limit that can't be read."""
+        row = self._rows_by_attempt.get(attempt_id)
+        if row is not None:
+            backend_id = self._backend_id(row, attempt_id)
+            self.ctx.record_event("invalid rate limit", backend_id, detail=detail)
+
+    def _backend_id(self, row, attempt_id):
+        return row.attempts[attempt_id].slot.backend_id if row is not None else ""
+
     def on_response(self, attempt_id, now_s):
         """Relay the first response whose head arrives, and cancel other attempts."""
         row = self._rows_by_attempt.get(attempt_id)
@@ -281,6 +298,7 @@
     def _dispatch(self, row, holding, now_s, *, is_hedge=False):
         attempt = Attempt(next(self._attempt_ids), holding.slot, now_s, is_hedge)
         self.ctx.slots.acquire(holding, now_s)
+        self.ctx.slot_limits.take(holding.slot.backend_id, now_s)
         row.attempts[attempt.attempt_id] = attempt
         row.attempt_count += 1
         self._rows_by_attempt[attempt.attempt_id] = row
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_backend.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_backend.py
@@ -53,6 +53,8 @@
         first_run_s: Time at which each key was first started.
         over_slots: Number of requests that arrived while all slots were taken.
         max_load: Maximum number of requests present at the same time.
+        limit_per_s: Rate limit that its responses name, or None.
+        arrived_s: Times at which requests arrived.
         aborted_count: Number of requests that were present when it was killed.
     """
 
@@ -77,6 +79,8 @@
     first_run_s: dict = attrs.Factory(dict)
     over_slots: int = 0
     max_load: int = 0
+    limit_per_s: float | None = None
+    arrived_s: list = attrs.Factory(list)
     aborted_count: int = 0
 
     @property
@@ -87,6 +91,7 @@
     def receive(self, request):
         """Queue an arriving request, or shed it when the queue is full."""
         self.last_request_s = self.scheduler.now_s
+        self.arrived_s.append(self.scheduler.now_s)
         if len(self.queue) >= self.queue_limit:
             request.on_shed(request)
             return
--- a/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/system_rig.py
@@ -292,6 +292,8 @@
             return
         requests, now_s = self.core.requests, self.rig.now_s
         self._last_used_s[attempt.backend.row.backend_id] = now_s
+        limit_per_s = attempt.backend.limit_per_s
+        requests.on_rate_limit(attempt.attempt_id, limit_per_s, now_s)
         requests.on_response(attempt.attempt_id, now_s)
         requests.on_response_end(attempt.attempt_id, now_s, status=200, body=b"done")
         is_cross_region = attempt.backend.row.region != self.row.region
