--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -143,6 +143,8 @@
 
     def _permit_due_s(self, row, now_s):
         """Return when any backend server of the request's region may take it."""
+        if not self.ctx.rate_limits:
+            return now_s
         members = (
             member
             for member in self.ctx.fleet.usable(row.service, now_s)
