Let the owner of a limited backend server follow its failure domain

Found by reading. Cause: owners were cached by id alone. Servers that had left stayed in the cache. Evidence: test_owner_follows_the_failure_domain_of_a_new_incarnation fails before.

--- a/packages/snipebay-policy/src/snipebay_policy/permits.py
+++ b/packages/snipebay-policy/src/snipebay_policy/permits.py
@@ -176,13 +176,17 @@
         for table in (self._buckets, self._closed_until_s, self._denied_s):
             for backend_id in [i for i in table if i not in known]:
                 del table[backend_id]
+        for backend_id, domain in [key for key in self._owners if key[0] not in known]:
+            del self._owners[backend_id, domain]
 
     def owners(self, backend):
         """Return the ids of the two instances that may grant, the owner first.
 
         Instances near to the backend server come first: most requests to it do.
         """
-        if backend.backend_id not in self._owners:
+        # A backend server may come back under its id in another failure domain.
+        key = (backend.backend_id, backend.domain)
+        if key not in self._owners:
             nearest = heapq.nsmallest(
                 2,
                 self._entries,
@@ -192,8 +196,8 @@
                     rendezvous_rank(row.entry_id, backend.backend_id),
                 ),
             )
-            self._owners[backend.backend_id] = [row.entry_id for row in nearest]
-        return self._owners[backend.backend_id]
+            self._owners[key] = [row.entry_id for row in nearest]
+        return self._owners[key]
 
     def is_owner(self, backend_id):
         """Return True if this instance owns a backend server in its own view."""
--- a/packages/snipebay-policy/tests/test_permits.py
+++ b/packages/snipebay-policy/tests/test_permits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from snipebay_model.messages import PermitReply, PermitRequest, RenewReply
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
@@ -114,6 +115,20 @@
 class TestRemovedBackendServer(PermitCase):
     """The last response of a server that has left must not bring its limit back."""
 
+    def test_owner_follows_the_failure_domain_of_a_new_incarnation(self):
+        core = self.cores["e0"]
+        far = attrs.evolve(entry("e9"), region="b", domain="b-1")
+        moved = attrs.evolve(BACKEND, region="b", domain="b-1", born_ms=2)
+        permits = core.forward.queue.permits
+        for revision, delta in (
+            (2, ViewDelta(1, 2, entries=(far,))),
+            (3, ViewDelta(2, 3, backends=(moved,))),
+        ):
+            permits.owners(BACKEND)
+            reply = RenewReply("c1", True, quorum_revision=revision, delta=delta)
+            core.receive("c1", reply, 0.1)
+        self.assertEqual(permits.owners(moved)[0], "e9")
+
     def test_limit_in_a_late_response_is_ignored(self):
         core = self.cores[self.other]
         delta = ViewDelta(1, 2, backends_gone=("i1",))
