--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -257,14 +257,14 @@
 
     def _update_reach(self, now_s):
         """Detect a loss of reach, and probe backend servers to tell."""
-        backends = self.ctx.fleet.open_rows()
+        list_backends = self.ctx.fleet.open_rows
         attempts = (
             row.attempt
             for row in self.queue.rows_by_attempt.values()
             if not row.attempt.is_hop
         )
-        self.ctx.reach.tick(attempts, backends, now_s)
-        for backend in self.ctx.reach.next_probes(backends, now_s):
+        self.ctx.reach.tick(attempts, list_backends, now_s)
+        for backend in self.ctx.reach.next_probes(list_backends, now_s):
             self.ctx.queue_action(Probe(backend))
 
     def on_probe(self, is_connected, now_s):
--- a/packages/snipebay-policy/src/snipebay_policy/reach.py
+++ b/packages/snipebay-policy/src/snipebay_policy/reach.py
@@ -90,12 +90,13 @@
                 return True
         return False
 
-    def tick(self, attempts, backends, now_s):
+    def tick(self, attempts, list_backends, now_s):
         """Update the suspicion.
 
         Args:
             attempts: Attempts in progress at backend servers.
-            backends: :class:`BackendRow` of the open backend servers.
+            list_backends: Function that returns the :class:`BackendRow` of the open
+                backend servers.
             now_s: Time.
         """
         is_late = now_s - self._last_tick_s > MAX_TICK_GAP_S
@@ -111,19 +112,24 @@
                 for attempt in attempts
                 if now_s - attempt.started_s >= SILENCE_S
             }
+        if self._failures < MIN_FAILURES and not silent:
+            return
+        backends = list_backends()
         count = min(MIN_FAILED_BACKENDS, len(backends))
         has_failed = self._failures >= MIN_FAILURES and len(self._failed) >= count
         if backends and (has_failed or len(silent) >= count):
             self._suspect(silent, backends, now_s)
 
-    def next_probes(self, backends, now_s):
+    def next_probes(self, list_backends, now_s):
         """Return the backend servers to probe now.
 
         Args:
-            backends: :class:`BackendRow` of the open backend servers.
+            list_backends: Function that returns the :class:`BackendRow` of the open
+                backend servers.
             now_s: Time.
         """
-        if self.state is Reach.REACHED or not backends:
+        backends = () if self.state is Reach.REACHED else list_backends()
+        if not backends:
             return []
         count, self._probes_due = self._probes_due, 0
         if self.state is Reach.STRANDED and now_s >= self._next_probe_s:
--- a/packages/snipebay-policy/tests/test_reach.py
+++ b/packages/snipebay-policy/tests/test_reach.py
@@ -38,8 +38,8 @@
         probes = []
         for _ in range(round(seconds / TICK_S)):
             self.now_s += TICK_S
-            self.reach.tick(self.attempts, BACKENDS, self.now_s)
-            probes += self.reach.next_probes(BACKENDS, self.now_s)
+            self.reach.tick(self.attempts, lambda: BACKENDS, self.now_s)
+            probes += self.reach.next_probes(lambda: BACKENDS, self.now_s)
         return probes
 
     def fail(self, *numbers):
