--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -115,7 +115,7 @@
         self._settled_by_region = {}
         self._drained = ()
         self._demand = ()
-        self._stranded = ()
+        self._isolated = ()
         self._lease_settings_revision = 0
         self._next_clock_s = 0.0
         self._applied_index = self.raft.commit_index
@@ -159,7 +159,7 @@
         self._settled_by_region = {}
         self._drained = self.sessions.drained(self.state, now_s)
         self._demand = self.sessions.demand(self.state)
-        self._stranded = self.sessions.stranded(self.state)
+        self._isolated = self.sessions.isolated(self.state)
         self.rate_limits.expire(self.state.backends, self._now_s)
         self._update_backend_leases()
         self._remove_expired()
@@ -338,7 +338,7 @@
             drained=self._drained,
             controls=self.controls,
             demand=self._demand,
-            stranded=self._stranded,
+            isolated=self._isolated,
         )
 
     def _settled(self, region):
--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -131,10 +131,10 @@
                 totals[key] = totals.get(key, 0.0) + count
         return tuple((*key, totals[key]) for key in sorted(totals))
 
-    def stranded(self, state):
+    def isolated(self, state):
         """Return the ids of entry instances that reach no backend server."""
         reports = ((row.entry_id, self._report(row)) for row in state.entries.values())
-        return tuple(sorted(name for name, msg in reports if msg and msg.is_stranded))
+        return tuple(sorted(name for name, msg in reports if msg and msg.is_isolated))
 
     def settled(self, state, region):
         """Return the newest revision that all entry instances of a region settled.
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -17,6 +17,7 @@
     RemoveBackend,
     RemoveEntry,
 )
+from snipebay_model.loans import LoanReply, LoanRequest, LoanReturn, PeerBeat
 from snipebay_model.permits import PermitReply, PermitRequest, RateLimitReport
 from snipebay_model.view import EntryRow, ViewDelta
 
@@ -310,7 +311,7 @@
             service.
         rate_limits: Rate limits of which the sender knows more than control.
         rate_limits_version: Version of the rate limits that the sender received last.
-        is_stranded: True while the sender reaches no backend server.
+        is_isolated: True while the sender reaches no backend server.
     """
 
     row: EntryRow
@@ -323,7 +324,7 @@
     needs: dict[str, float] = attrs.Factory(dict)
     rate_limits: tuple[RateLimitReport, ...] = ()
     rate_limits_version: tuple[int, int] = (0, 0)
-    is_stranded: bool = False
+    is_isolated: bool = False
 
 
 @attrs.frozen
@@ -348,7 +349,7 @@
             need, summed over its entry instances.
         rate_limits: Rate limits in force, or None when the receiver has this version.
         rate_limits_version: Term of the leader and number of its last change.
-        stranded: Ids of the entry instances that reach no backend server.
+        isolated: Ids of the entry instances that reach no backend server.
     """
 
     leader: str
@@ -364,82 +365,4 @@
     demand: tuple[tuple[str, str, float], ...] = ()
     rate_limits: tuple[RateLimitReport, ...] | None = None
     rate_limits_version: tuple[int, int] = (0, 0)
-    stranded: tuple[str, ...] = ()
-
-
-# --- between entry instances ----------------------------------------------
-
-
-@attrs.frozen
-class PeerBeat:
-    """Heartbeat between entry instances of one region.
-
-    Attributes:
-        entry_id: Instance id of the sender.
-        incarnation: Incarnation of the sender.
-        revision: View revision that the sender has applied.
-        sent_ms: Sender's clock in milliseconds.
-        echo_ms: Newest ``sent_ms`` that the sender received from the receiver,
-            0 for none.
-        leaving: Ids of the backend servers that announced their shutdown to the
-            sender or to one of its peers.
-    """
-
-    entry_id: str
-    incarnation: str
-    revision: int
-    sent_ms: int
-    echo_ms: int = 0
-    leaving: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class LoanRequest:
-    """Asks another entry instance for a loan, a lease of slots that it owns.
-
-    Attributes:
-        loan_id: Id of the loan, unique for the sender.
-        service: Service of the slots.
-        region: Region of the backend servers.
-        count: Number of slots asked for.
-        sent_ms: Sender's clock in milliseconds.
-    """
-
-    loan_id: int
-    service: str
-    region: str
-    count: int
-    sent_ms: int
-
-
-@attrs.frozen
-class LoanReply:
-    """Reply to a :class:`LoanRequest`, which grants or refuses the loan.
-
-    Attributes:
-        loan_id: Echo of the request.
-        service: Service of the slots.
-        sent_ms: Echo of the request.
-        lease_ms: Milliseconds from ``sent_ms`` on in which a request may be
-            started on a slot; it may run on after that.
-        slots: Pairs of backend server id and slot number; empty for a refusal.
-    """
-
-    loan_id: int
-    service: str
-    sent_ms: int
-    lease_ms: int
-    slots: tuple[tuple[str, int], ...] = ()
-
-
-@attrs.frozen
-class LoanReturn:
-    """Returns slots of a loan before the lease ends.
-
-    Attributes:
-        loan_id: Id of the loan.
-        slots: Pairs of backend server id and slot number.
-    """
-
-    loan_id: int
-    slots: tuple[tuple[str, int], ...]
+    isolated: tuple[str, ...] = ()
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -123,9 +123,9 @@
     def handle(self, exchange):
         """Start to forward a complete request."""
         now_s = self.clock()
-        remaining = exchange.header(self.header_names.deadline_ms.decode())
+        name = self.header_names.deadline_ms.decode()
+        remaining = exchange.header(name)
         if remaining and not remaining.isdigit():
-            name = self.header_names.deadline_ms.decode()
             exchange.problem(
                 400, "not-run", f"{name}: {remaining!r} is not a whole number"
             )
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -36,9 +36,9 @@
         age_s = entry.view_age_s(now_s)
         yield _gauge("view_age_seconds", "Time since control confirmed it.", age_s)
         reach = entry.reach
-        yield _gauge("stranded", "1 while it reaches no server.", reach.is_stranded)
-        others = len(entry.hop_table.stranded)
-        yield _gauge("stranded_instances", "Instances that reach none.", others)
+        yield _gauge("isolated", "1 while it reaches no server.", reach.is_isolated)
+        others = len(entry.hop_table.isolated)
+        yield _gauge("isolated_instances", "Instances that reach none.", others)
         slots = _service_gauge("slots", "Slots of backend servers in view.", "state")
         backends = _service_gauge("backends", "Backend servers in view.", "state")
         budget = _service_gauge("retry_budget", "Retries that are allowed now.")
--- a/packages/snipebay-node/tests/test_hops.py
+++ b/packages/snipebay-node/tests/test_hops.py
@@ -26,7 +26,7 @@
         delta = ViewDelta(1, 2, entries=rows)
         reply = RenewReply("c1", True, quorum_revision=2, delta=delta)
         self.core.receive("c1", reply, 0.0)
-        self.core.reach.state = Reach.STRANDED
+        self.core.reach.state = Reach.ISOLATED
 
     def sent(self, number=-1):
         return bytes(self.backend_stream(number).sent).lower()
--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -61,7 +61,7 @@
         for row in sorted(waiting.values(), key=_queue_order):
             if row.needs_permit or self.try_dispatch(row, now_s):
                 continue
-            if self.ctx.reach.is_stranded:
+            if self.ctx.reach.is_isolated:
                 detail = "no backend server is reached from any known instance"
                 self._fail_request(row, 503, "unreachable", detail)
                 continue
@@ -78,7 +78,7 @@
         """Return True when a request was dispatched or waits for its permit."""
         if now_s >= row.deadline_s:
             return False
-        if self.ctx.reach.is_stranded:
+        if self.ctx.reach.is_isolated:
             return self.try_hop(row, now_s)
         service = self.ctx.service(row.service)
         for region in self._regions(row):
@@ -110,7 +110,7 @@
 
     def may_retry(self, row):
         """Return True unless a request needs another hop and may take none."""
-        return not self.ctx.reach.is_stranded or row.hop_count < MAX_HOPS
+        return not self.ctx.reach.is_isolated or row.hop_count < MAX_HOPS
 
     def try_hop(self, row, now_s):
         """Return True when a request was sent through another entry instance."""
@@ -130,7 +130,7 @@
         if row.request_id not in self.waiting.get(row.service, {}):
             # Its caller has left, or its deadline has passed.
             return
-        if permission is Permission.GRANTED and not self.ctx.reach.is_stranded:
+        if permission is Permission.GRANTED and not self.ctx.reach.is_isolated:
             self._dispatch(row, choice, now_s)
         else:
             self.dispatch_waiting(row.service, now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -227,7 +227,7 @@
 
         While this instance reaches none, failures say nothing about them.
         """
-        if attempt.is_hop or self.ctx.reach.is_stranded:
+        if attempt.is_hop or self.ctx.reach.is_isolated:
             return
         member = attempt.member
         if is_connection:
@@ -272,7 +272,7 @@
         if not self.ctx.reach.on_probe(is_connected, now_s):
             return
         self.ctx.on_reach_changed(now_s)
-        if self.ctx.reach.is_stranded:
+        if self.ctx.reach.is_isolated:
             for row in [r for r in self.rows.values() if self._may_hop(r)]:
                 self._retry_elsewhere(row, now_s)
 
--- a/packages/snipebay-policy/src/snipebay_policy/hop_table.py
+++ b/packages/snipebay-policy/src/snipebay_policy/hop_table.py
@@ -15,7 +15,7 @@
         own: :class:`EntryRow` of this instance.
 
     Attributes:
-        stranded: Ids of the instances that reported that they reach none.
+        isolated: Ids of the instances that reported that they reach none.
     """
 
     def __init__(self, own):
@@ -23,7 +23,7 @@
         self._rows = ()
         self._members = {}
         self._splits = {}
-        self.stranded = frozenset()
+        self.isolated = frozenset()
 
     def apply_view(self, view):
         """Replace the instances by those of a view."""
@@ -36,10 +36,10 @@
         self._members = members
         self._splits.clear()
 
-    def update_stranded(self, ids):
+    def update_isolated(self, ids):
         """Replace the ids of the instances that reach no backend server."""
-        if self.stranded != frozenset(ids):
-            self.stranded = frozenset(ids)
+        if self.isolated != frozenset(ids):
+            self.isolated = frozenset(ids)
             self._splits.clear()
 
     def choose(self, allowed_regions, exclude):
@@ -56,7 +56,7 @@
         rows = [
             row
             for row in self._rows
-            if row.entry_id not in self.stranded
+            if row.entry_id not in self.isolated
             and row.entry_id not in exclude
             and self._may_take(row, allowed_regions)
         ]
--- a/packages/snipebay-policy/src/snipebay_policy/reach.py
+++ b/packages/snipebay-policy/src/snipebay_policy/reach.py
@@ -33,7 +33,7 @@
 
     REACHED = "reached"
     SUSPECTED = "suspected"
-    STRANDED = "stranded"
+    ISOLATED = "isolated"
 
 
 class ReachMonitor:
@@ -60,9 +60,9 @@
         self._results = collections.deque(maxlen=RECENT_PROBES)
 
     @property
-    def is_stranded(self):
+    def is_isolated(self):
         """True while no backend server is reached from here."""
-        return self.state is Reach.STRANDED
+        return self.state is Reach.ISOLATED
 
     def on_response(self, now_s):
         """Record a response of any backend server."""
@@ -80,10 +80,10 @@
         self._failures += 1
 
     def on_probe(self, is_connected, now_s):
-        """Record the result of a probe; return True when it strands or frees."""
+        """Record the result of a probe; return True when it isolates or frees."""
         if self.state is Reach.SUSPECTED:
             return self._on_suspicion_probe(is_connected, now_s)
-        if self.state is Reach.STRANDED:
+        if self.state is Reach.ISOLATED:
             self._results.append(is_connected)
             if sum(self._results) >= PROBE_SUCCESSES:
                 self._clear(now_s)
@@ -132,7 +132,7 @@
         if not backends:
             return []
         count, self._probes_due = self._probes_due, 0
-        if self.state is Reach.STRANDED and now_s >= self._next_probe_s:
+        if self.state is Reach.ISOLATED and now_s >= self._next_probe_s:
             self._next_probe_s = now_s + PROBE_INTERVAL_S
             count = 1
         return self._spread(backends, count)
@@ -153,7 +153,7 @@
         domains = sorted(
             by_domain, key=lambda domain: (domain in failed_domains, domain)
         )
-        start = self._probe_number if self.is_stranded else 0
+        start = self._probe_number if self.is_isolated else 0
         found = []
         for number in range(start, start + count):
             rows = by_domain[domains[number % len(domains)]]
@@ -166,7 +166,7 @@
         if is_connected:
             self._clear(now_s)
         elif not self._probes_running:
-            self.state = Reach.STRANDED
+            self.state = Reach.ISOLATED
             self._results.clear()
             self._next_probe_s = now_s + PROBE_INTERVAL_S
             return True
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -179,28 +179,28 @@
             region: Region of the caller.
         """
         rows = [row for row in self.view.entries if not row.leaving]
-        rows = [row for row in rows if not self._is_stranded(row)] or rows
+        rows = [row for row in rows if not self._is_isolated(row)] or rows
         same_domain = [row for row in rows if row.domain == domain]
         same_region = [row for row in rows if row.region == region]
         # With a single instance, its callers would have no other address when it fails.
         found = same_domain if len(same_domain) > 1 else same_region or rows
         return [row.address for row in found]
 
-    def _is_stranded(self, row):
+    def _is_isolated(self, row):
         """Return True if an entry instance reaches no backend server."""
         if row.entry_id == self.row.entry_id:
-            return self.reach.is_stranded
-        return row.entry_id in self.hop_table.stranded
+            return self.reach.is_isolated
+        return row.entry_id in self.hop_table.isolated
 
     def on_reach_changed(self, now_s):
         """Log and report that backend servers are no longer reached, or again."""
         event = (
             "backend servers out of reach"
-            if self.reach.is_stranded
+            if self.reach.is_isolated
             else "backend servers in reach again"
         )
         self.record_event(
-            event, self.row.entry_id, stranded=len(self.hop_table.stranded)
+            event, self.row.entry_id, isolated=len(self.hop_table.isolated)
         )
         self.fleet.reset_failures(now_s)
         self._renew(now_s)
@@ -308,7 +308,7 @@
             needs=dict(self._needs),
             rate_limits=self.rate_limits.news(now_s),
             rate_limits_version=self.rate_limits.version,
-            is_stranded=self.reach.is_stranded,
+            is_isolated=self.reach.is_isolated,
         )
         self.queue_action(Send(target, report))
 
@@ -341,7 +341,7 @@
             self._demand.setdefault(service, {})[region] = slots
         if msg.delta is not None and msg.delta.base <= self.view.revision:
             self._apply_delta(msg.delta, now_s)
-        self.hop_table.update_stranded(msg.stranded)
+        self.hop_table.update_isolated(msg.isolated)
         version = msg.rate_limits_version
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
 
--- a/packages/snipebay-policy/tests/test_permits.py
+++ b/packages/snipebay-policy/tests/test_permits.py
@@ -177,7 +177,7 @@
     def test_granted_request_hops_when_the_reach_was_lost_meanwhile(self):
         target, request = self.request_of(self.arrive())
         core = self.cores[self.other]
-        core.reach.state = Reach.STRANDED
+        core.reach.state = Reach.ISOLATED
         core.receive(target, PermitReply(request.permit_id, True), 0.01)
         (dispatch,) = core.pop_actions()
         self.assertIn(dispatch.backend.backend_id, (self.owner, self.deputy))
--- a/packages/snipebay-policy/tests/test_reach.py
+++ b/packages/snipebay-policy/tests/test_reach.py
@@ -47,14 +47,14 @@
             self.reach.on_failure(BACKENDS[number])
         return self.run_for(TICK_S)
 
-    def strand(self):
+    def isolate(self):
         for _ in self.fail(0, 4, 8, 1):
             self.reach.on_probe(False, self.now_s)
-        self.assertTrue(self.reach.is_stranded)
+        self.assertTrue(self.reach.is_isolated)
 
 
 class TestSuspicion(ReachCase):
-    """A failing region of backend servers must not strand its entry instances."""
+    """A failing region of backend servers must not isolate its entry instances."""
 
     def test_few_failures_raise_none(self):
         self.assertEqual(self.fail(0, 4), [])
@@ -113,25 +113,25 @@
     """An instance that is back must be used again, without a swing at each packet."""
 
     def test_one_success_is_not_enough(self):
-        self.strand()
+        self.isolate()
         self.assertFalse(self.reach.on_probe(True, self.now_s))
-        self.assertTrue(self.reach.is_stranded)
+        self.assertTrue(self.reach.is_isolated)
 
     def test_several_successes_are_despite_failures_in_between(self):
-        self.strand()
+        self.isolate()
         results = (True, False, True, False, True)
         changes = [self.reach.on_probe(result, self.now_s) for result in results]
         self.assertEqual(changes, [False] * 4 + [True])
 
     def test_rate_of_probes_is_limited(self):
-        self.strand()
+        self.isolate()
         probes = self.run_for(20 * PROBE_INTERVAL_S)
         self.assertLessEqual(len(probes), 21)
         self.assertEqual({row.domain for row in probes}, set(DOMAINS))
 
 
 class TestHopTable(unittest.TestCase):
-    """A hop must not leave the regions of a route, nor end at a stranded instance."""
+    """A hop must not leave the regions of a route, nor end at a isolated instance."""
 
     def setUp(self):
         domains = ("a-1", "a-1", "a-2", "b-1")
@@ -149,16 +149,16 @@
     def test_nearest_first(self):
         self.assertEqual(self.choose(), "e1")
         self.assertEqual(self.choose(exclude={"e1"}), "e2")
-        self.table.update_stranded(("e1", "e2"))
+        self.table.update_isolated(("e1", "e2"))
         self.assertEqual(self.choose(), "e3")
 
     def test_regions_of_the_route_are_kept(self):
-        self.table.update_stranded(("e1", "e2"))
+        self.table.update_isolated(("e1", "e2"))
         self.assertIsNone(self.choose(allowed=("a",)))
         self.assertEqual(self.choose(allowed=("a", "b")), "e3")
 
-    def test_none_when_all_are_stranded(self):
-        self.table.update_stranded(("e1", "e2", "e3"))
+    def test_none_when_all_are_isolated(self):
+        self.table.update_isolated(("e1", "e2", "e3"))
         self.assertIsNone(self.choose())
 
 
--- a/packages/snipebay-testbed/src/snipebay_testbed/routed_soak.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_soak.py
@@ -57,7 +57,7 @@
         self.named = rig.name_limits(self.limit_per_s, float(self.rng.uniform(0.2, 1)))
         limited_from_s = rig.now_s + GRACE_S
         rig.scheduler.run_for(2.0)
-        kinds = (self._restart, self._freeze, self._strand, self._cut, self._leader)
+        kinds = (self._restart, self._freeze, self._isolate, self._cut, self._leader)
         for _ in range(FAULT_COUNT):
             kinds[int(self.rng.integers(len(kinds)))]()
             rig.scheduler.run_for(float(self.rng.uniform(0.1, FAULT_GAP_S)))
@@ -96,10 +96,10 @@
             host.freeze()
             self._later(host.thaw)
 
-    def _strand(self):
+    def _isolate(self):
         how = ("hang", "refuse")[int(self.rng.integers(2))]
         hosts = [self._pick() for _ in range(int(self.rng.integers(1, 7)))]
-        self.faults.append(f"strand {how} {[host.id for host in hosts]}")
+        self.faults.append(f"isolate {how} {[host.id for host in hosts]}")
         for host in hosts:
             host.cut_off(how)
             self._later(host.cut_off, "")
--- a/packages/snipebay-testbed/tests/test_stranded_instances.py
+++ b/packages/snipebay-testbed/tests/test_isolated_instances.py
@@ -7,7 +7,7 @@
 GRACE_S = 4.0
 
 
-class StrandedCase(unittest.TestCase):
+class IsolatedCase(unittest.TestCase):
     def start(self, seed, load_per_s=120.0):
         self.rig = RoutedRig(12, 12, seed).start()
         self.rig.offer_load(load_per_s, 60.0, unsafe_share=0.3)
@@ -39,7 +39,7 @@
         self.assertGreaterEqual(self.share_served(cut, from_s, to_s), expected)
 
 
-class TestCallersOfStrandedInstances(StrandedCase):
+class TestCallersOfIsolatedInstances(IsolatedCase):
     """An instance took its own loss of reach for failures of all backend servers."""
 
     def test_half_of_the_instances_with_hanging_connections(self):
@@ -96,7 +96,7 @@
         self.assertLessEqual(worst, 1.5 * 4 * 3.0 + 5)
 
 
-class TestReturnOfReach(StrandedCase):
+class TestReturnOfReach(IsolatedCase):
     """Failures recorded while cut off must not count against backend servers."""
 
     def setUp(self):
@@ -120,7 +120,7 @@
         self.cut_off(self.cut, "")
         self.rig.scheduler.run_for(4.0)
         for host in self.cut:
-            self.assertFalse(host.core.reach.is_stranded)
+            self.assertFalse(host.core.reach.is_isolated)
             found = self.rig.entries[1].core.lookup(host.row.domain, host.row.region)
             self.assertIn(host.row.address, found)
         from_s = self.rig.now_s
@@ -129,7 +129,7 @@
         self.assertGreater(served, 0.98)
 
 
-class TestSoundInstances(StrandedCase):
+class TestSoundInstances(IsolatedCase):
     """Failures of some backend servers must not pass for an own loss of reach."""
 
     def test_lost_region_of_backend_servers(self):
@@ -139,8 +139,8 @@
                 backend.is_up = False
         for _ in range(40):
             self.rig.scheduler.run_for(0.2)
-            stranded = [h.id for h in self.rig.entries if h.core.reach.is_stranded]
-            self.assertEqual(stranded, [])
+            isolated = [h.id for h in self.rig.entries if h.core.reach.is_isolated]
+            self.assertEqual(isolated, [])
 
     def test_frozen_process(self):
         self.start(10)
@@ -150,7 +150,7 @@
         host.thaw()
         for _ in range(20):
             self.rig.scheduler.run_for(0.1)
-            self.assertFalse(host.core.reach.is_stranded)
+            self.assertFalse(host.core.reach.is_isolated)
 
 
 if __name__ == "__main__":
