Say the true reason of each refusal

Cause: without limits the time of the next permit was the present, and the first branch took any time past the end of the wait for a permit that is due too late. Change: the decision is pure (refusals.py); a permit counts only while it is due later. Requests for a service without any backend server are refused at once.

--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -6,6 +6,7 @@
 from snipebay_policy.forward_reasons import dispatch_reason
 from snipebay_policy.forward_rows import ForwardAttempt
 from snipebay_policy.permits import Permission, PermitSystem
+from snipebay_policy.refusals import QueueState, refusal
 from snipebay_policy.service_times import PRIMARY
 from snipebay_policy.work import Dispatch
 
@@ -61,18 +62,12 @@
         for row in sorted(waiting.values(), key=_queue_order):
             if row.needs_permit or self.try_dispatch(row, now_s):
                 continue
-            if self.ctx.reach.is_isolated:
-                detail = "no backend server is reached from any known instance"
-                self._fail_request(row, 503, "unreachable", detail)
-                continue
-            end_s = self._queue_end_s(row)
-            permit_due_s = self._permit_due_s(row, now_s)
-            if permit_due_s > end_s:
-                detail = "all backend servers are at their rate limits"
-                after_s = max(permit_due_s - now_s, self.rules.retry_after_s)
-                self._fail_request(row, 503, "rate_limited", detail, after_s)
-            elif now_s >= end_s:
-                self._fail_request(row, 503, "no_room", "no backend server has room")
+            found = refusal(self._queue_state(row, now_s), now_s)
+            if found is not None:
+                after_s = found.due_in_s and max(
+                    found.due_in_s, self.rules.retry_after_s
+                )
+                self._fail_request(row, 503, found.reason, found.detail, after_s)
 
     def try_dispatch(self, row, now_s):
         """Return True when a request was dispatched or waits for its permit."""
@@ -135,23 +130,33 @@
         else:
             self.dispatch_waiting(row.service, now_s)
 
-    def _queue_end_s(self, row):
+    def _queue_state(self, row, now_s):
+        """Return the :class:`QueueState` of a waiting request."""
         wait_s = row.route.target_latency_s * self.rules.queue_wait_share
-        return min(
-            row.waiting_since_s + wait_s, row.deadline_s - self.rules.min_attempt_s
+        last_s = row.deadline_s - self.rules.min_attempt_s
+        return QueueState(
+            has_backends=bool(self.ctx.fleet.usable(row.service, now_s)),
+            is_isolated=self.ctx.reach.is_isolated,
+            ends_s=min(row.waiting_since_s + wait_s, last_s),
+            permit_due_s=self._permit_due_s(row, now_s),
         )
 
     def _permit_due_s(self, row, now_s):
-        """Return when any backend server of the request's region may take it."""
+        """Return when any backend server of the request's region may take it.
+
+        Returns:
+            None when no rate limit keeps it from one of them.
+        """
         if not self.ctx.rate_limits:
-            return now_s
+            return None
         members = (
             member
             for member in self.ctx.fleet.usable(row.service, now_s)
             if row.region in (None, member.row.region)
         )
         due_s = (self.permits.due_s(m.row.backend_id, PRIMARY, now_s) for m in members)
-        return min(due_s, default=now_s)
+        first_s = min(due_s, default=now_s)
+        return first_s if first_s > now_s else None
 
     def _regions(self, row):
         """Return the regions to try, the one assigned to the request first."""
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -201,6 +201,30 @@
         self.assertEqual([a.request_id for a in self.actions(Dispatch)], [4])
 
 
+class TestReasonOfRefusal(ForwardCase):
+    """The reason is a metric label and the cause that operators see."""
+
+    def test_no_room_without_any_rate_limit(self):
+        for member in self.core.fleet.members.values():
+            member.update_load(9, 9, 0.0)
+        self.assertEqual(self.arrive(), [])
+        self.core.forward.queue.tick(0.13)
+        (problem,) = self.actions()
+        self.assertEqual(problem.reason, "no_room")
+        self.assertEqual(problem.outcome, "not-run")
+
+    def test_no_backend_server_of_the_service(self):
+        gone = tuple(f"i{n}" for n in range(self.backends))
+        self.apply_delta(ViewDelta(1, 2, backends_gone=gone))
+        (problem,) = self.arrive()
+        self.assertEqual((problem.reason, problem.status), ("no_backend", 503))
+
+    def test_deadline_of_a_request_that_was_sent(self):
+        self.send(timeout_s=0.5)
+        (problem,) = [a for a in self.tick(0.5) if not isinstance(a, Cancel)]
+        self.assertEqual((problem.reason, problem.status), ("deadline", 504))
+
+
 class TestAvoidedDomain(ForwardCase):
     def test_failed_connection_is_retried_in_another_domain(self):
         rows = (BackendRow("far", "s", "10.0.2.1:80", "a", "a-2", 1),)
