--- a/packages/snipebay-policy/tests/test_refusals.py
+++ b/packages/snipebay-policy/tests/test_refusals.py
@@ -5,9 +5,7 @@
 import attrs
 from snipebay_policy.refusals import QueueState, refusal
 
-STATE = QueueState(
-    has_backends=True, is_isolated=False, ends_s=10.0, permit_due_s=None
-)
+STATE = QueueState(has_backends=True, is_isolated=False, ends_s=10.0, permit_due_s=None)
 
 
 class TestLineBetweenReasons(unittest.TestCase):
