Pace what the leader and the instances send to each other, and compress it

Cause: each change of membership was sent to all instances at the next tick, each of these renewed at once to report it, and was answered; whole views were sent again while they were on their way. Change: the leader collects changes of membership for a time that grows with the instances (update_pacing.py), changes by operators go at once; instances report new plans only; renewals are spread by their number within the lease (renewal_pacing.py); frames are compressed with those before them as context once the receiver says that it accepts them. Ruled out: resending lost deltas after a timeout too; it delays them by up to 1 s.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -29,6 +29,7 @@
 from snipebay_control.sessions import LeaseTiming, Sessions
 from snipebay_control.state import ControlState
 from snipebay_control.telemetry import Telemetry
+from snipebay_control.update_pacing import UpdatePacer
 
 __all__ = ["RAFT_MESSAGES", "ControlConfig", "ControlCore"]
 
@@ -110,7 +111,7 @@
         self._pending_replies = {}
         self._proposed_commands = set()
         self.joining = JoinProtocol(cfg, self.raft)
-        self._pushed_revisions = {}
+        self._pacer = UpdatePacer()
         self._pushed_settled = {}
         self._settled_by_region = {}
         self._drained = ()
@@ -224,7 +225,7 @@
         self._pending_replies.clear()
         self._proposed_commands.clear()
         self.joining.joining_members.clear()
-        self._pushed_revisions.clear()
+        self._pacer = UpdatePacer()
         self._pushed_settled.clear()
         self._settled_by_region = {}
         self._drained = ()
@@ -257,6 +258,7 @@
         ]
         for name, cmd in expired:
             if self._propose_once(cmd):
+                self._pacer.forget(name)
                 self.telemetry.changes.append((reason, name))
 
     def _advance_clock(self):
@@ -272,15 +274,22 @@
 
     def _push_updates(self):
         """Send changes to entry instances without waiting for their next renewal."""
+        state, now_s = self.state, self._now_s
+        is_due = self._pacer.is_due(
+            state.revision, state.urgent_revision, len(state.entries), now_s
+        )
+        # Only instances with a settings tree settle slots.
+        if not is_due and not state.settings_revision:
+            return
         for entry_id, report in self.sessions.reports.items():
-            row = self.state.entries.get(entry_id)
+            row = state.entries.get(entry_id)
             if row is None:
                 continue
-            base = max(report.applied, self._pushed_revisions.get(entry_id, 0))
-            settled = self._settled(row.region)
-            has_changes = base < self.state.revision
+            base = self._pacer.push_base(row, report.applied)
+            settled = self._settled(row.region) if state.settings_revision else 0
+            has_changes = is_due and base < state.revision
             if has_changes or settled > self._pushed_settled.get(entry_id, 0):
-                self._pushed_revisions[entry_id] = self.state.revision
+                self._pacer.record_sent(row, state.revision, now_s)
                 reply = self._renew_reply(row.region, base, granted=False)
                 self._outbox.append((entry_id, reply))
             self._pushed_settled[entry_id] = settled
@@ -297,12 +306,16 @@
         known = row is not None and row.incarnation == msg.row.incarnation
         if known:
             self.sessions.renew(msg, self.state, self._now_s)
-            self._pushed_revisions[msg.row.entry_id] = self.state.revision
         refused = self._id_conflict(row, msg.row)
         if not refused:
             self._put_entry(row, msg.row)
+        base = self._pacer.reply_base(
+            msg.row, msg.applied, len(self.state.entries), self._now_s
+        )
+        if known or base < self.state.revision:
+            self._pacer.record_sent(msg.row, self.state.revision, self._now_s)
         reply = self._renew_reply(
-            msg.row.region, msg.applied, granted=known, sent_ms=msg.sent_ms
+            msg.row.region, base, granted=known, sent_ms=msg.sent_ms
         )
         limits = self.rate_limits.reports(msg.rate_limits_version, self._now_s)
         reply = attrs.evolve(
--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -88,11 +88,12 @@
         then carry a newer revision, on which the removed instance stops.
         """
         rows = [row for _, row in sorted(state.entries.items())]
-        live = [row for row in rows if self.is_live(row.entry_id, now_s)]
+        live_ids = {i for i in state.entries if self.is_live(i, now_s)}
+        live = [row for row in rows if row.entry_id in live_ids]
         return [
             row
             for row in rows
-            if row not in live
+            if row.entry_id not in live_ids
             and (not self.timing.needs_live_peer or self._has_live_peer(row, live))
         ]
 
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -19,6 +19,8 @@
 
 MAX_JOURNAL_ROWS = 2_048
 MAX_CHANGES = 200
+# Tables that operators change.
+OPERATOR_TABLES = ("settings", "plan", "evacuated")
 MAX_CHANGE_IDS = 10_000
 # Far more changes than can be made while one is being retried.
 MAX_READ_DIGESTS = 256
@@ -60,10 +62,16 @@
 
 
 class ControlState:
-    """Replicated state machine, the same on all instances at the same log index."""
+    """Replicated state machine, the same on all instances at the same log index.
+
+    Attributes:
+        revision: Revision of the view.
+        urgent_revision: Newest revision since the start that an operator made.
+    """
 
     def __init__(self):
         self.revision = 0
+        self.urgent_revision = 0
         self.settings_revision = 0
         self.settings = ""
         self.now_ms = 0
@@ -77,6 +85,7 @@
         self.claims = ClaimTable()
         self._change_outcomes = collections.OrderedDict()
         self._journal = collections.deque(maxlen=MAX_JOURNAL_ROWS)
+        self._deltas = {}
         self._handlers = {
             messages.ApplySettings: self._apply_settings,
             messages.ApplyPlan: self._apply_plan,
@@ -157,6 +166,11 @@
         """
         if base >= self.revision:
             return None
+        if base not in self._deltas:
+            self._deltas[base] = self._compute_delta(base)
+        return self._deltas[base]
+
+    def _compute_delta(self, base):
         first = self._journal[0][0] if self._journal else self.revision + 1
         if base < first - 1:
             return self._full_delta()
@@ -203,6 +217,9 @@
         """Journal a change for the deltas and return its new revision."""
         self.revision += 1
         self._journal.append((self.revision, table, row_id))
+        self._deltas.clear()
+        if table in OPERATOR_TABLES:
+            self.urgent_revision = self.revision
         return self.revision
 
     # --- commands ---------------------------------------------------------
--- a/packages/snipebay-node/src/snipebay_node/frames.py
+++ b/packages/snipebay-node/src/snipebay_node/frames.py
@@ -6,10 +6,19 @@
 from snipebay_model.codec import CodecError, Envelope, decode, encode
 from snipebay_model.units import FRAME_LIMIT_BYTES
 
+from snipebay_node.frame_compression import (
+    CompressionError,
+    FrameCompressor,
+    FrameDecompressor,
+)
+
 __all__ = ["FrameBus"]
 
 _LENGTH = struct.Struct("<I")
-ACK = b"\x01"
+# Marks a compressed frame in its length. A receiver that accepts these says so by its
+# acknowledgement; before the first one, frames are sent as they are.
+COMPRESSED = 1 << 31
+ACK = b"\x02"
 # A connection with unacknowledged frames is closed after this long without an
 # acknowledgement: several round trips between regions, below an election timeout.
 ACK_TIMEOUT_S = 0.8
@@ -87,6 +96,7 @@
         self._unacked_since_s = None
         self._reconnect_at_s = 0.0
         self._is_disconnected = False
+        self._compressor = None
 
     def send(self, kind, frame):
         now_s = self.bus.clock()
@@ -98,8 +108,11 @@
             return
         if self._unacked_since_s is None:
             self._unacked_since_s = now_s
+        mark = 0
+        if self._compressor is not None:
+            frame, mark = self._compressor.compress(frame), COMPRESSED
         self.bus.counters.message_sent(kind, len(frame))
-        stream.write(_LENGTH.pack(len(frame)) + frame)
+        stream.write(_LENGTH.pack(len(frame) | mark) + frame)
 
     def tick(self, now_s):
         stream = self._stream
@@ -129,6 +142,7 @@
             return
         self._stream = stream
         self._unacked_since_s = None
+        self._compressor = None
         stream.on_data = self._on_ack
         stream.on_closed = self._on_closed
         stream.on_connected = self._on_connected
@@ -143,6 +157,8 @@
     def _on_ack(self, data):
         # Frames that the receiver had not read yet get another acknowledgement.
         self._unacked_since_s = None
+        if self._compressor is None and ACK in data:
+            self._compressor = FrameCompressor()
 
     def _on_closed(self):
         if not self._is_disconnected:
@@ -160,23 +176,38 @@
         self.bus = bus
         self.stream = stream
         self._buffer = bytearray()
+        self._decompressor = None
         stream.on_data = self._on_data
 
     def _on_data(self, data):
         self._buffer += data
         start, end = 0, len(self._buffer)
         while end - start >= _LENGTH.size and self.stream.is_open:
-            (size,) = _LENGTH.unpack_from(self._buffer, start)
+            (word,) = _LENGTH.unpack_from(self._buffer, start)
+            size, is_compressed = word & ~COMPRESSED, word & COMPRESSED
             if size > FRAME_LIMIT_BYTES:
-                log.warning(
-                    "frame exceeds the size limit; closing the connection", size=size
-                )
-                self.stream.abort()
+                self._abort(f"a frame of {size!r} bytes is too long")
                 return
             if end - start < _LENGTH.size + size:
                 break
             start += _LENGTH.size
-            self.bus.deliver(bytes(self._buffer[start : start + size]))
+            frame = bytes(self._buffer[start : start + size])
+            try:
+                self.bus.deliver(self._decompress(frame) if is_compressed else frame)
+            except CompressionError as exc:
+                self._abort(str(exc))
+                return
             start += size
         del self._buffer[:start]
         self.stream.write(ACK)
+
+    def _decompress(self, frame):
+        if self._decompressor is None:
+            self._decompressor = FrameDecompressor(FRAME_LIMIT_BYTES)
+        return self._decompressor.decompress(frame)
+
+    def _abort(self, error):
+        """Close a connection whose frames can't be told apart any more."""
+        self.bus.counters.message_undecodable()
+        log.warning("unusable frame; closing the connection", error=error)
+        self.stream.abort()
--- a/packages/snipebay-node/tests/test_frames.py
+++ b/packages/snipebay-node/tests/test_frames.py
@@ -1,10 +1,23 @@
 """Tests for message frames between processes, on fake connections."""
 
 import collections
+import struct
 import unittest
+import zlib
 
 from snipebay_model.messages import Hello
-from snipebay_node.frames import ACK, ACK_TIMEOUT_S, CONNECT_TIMEOUT_S, FrameBus
+from snipebay_node.frame_compression import (
+    CompressionError,
+    FrameCompressor,
+    FrameDecompressor,
+)
+from snipebay_node.frames import (
+    ACK,
+    ACK_TIMEOUT_S,
+    COMPRESSED,
+    CONNECT_TIMEOUT_S,
+    FrameBus,
+)
 from snipebay_testbed.fake_stream import FakeHub, FakeStream
 
 
@@ -117,5 +130,85 @@
         self.assertFalse(stream.is_open)
 
 
+class TestCompression(FrameCase):
+    """Frames are compressed once the receiver has said that it accepts them."""
+
+    def deliver(self, stream, start=0):
+        """Pass what a stream has sent to an accepted one; return the latter."""
+        accepted = self.accept_connection()
+        accepted.on_data(bytes(stream.sent[start:]))
+        return accepted
+
+    def frame_sizes(self, stream, count):
+        sizes = []
+        for _ in range(count):
+            size = len(stream.sent)
+            self.send()
+            sizes.append(len(stream.sent) - size)
+        return sizes
+
+    def test_plain_before_the_first_acknowledgement(self):
+        stream = self.open_connection()
+        self.assertEqual(len(set(self.frame_sizes(stream, 3))), 1)
+
+    def test_repeated_messages_cost_little(self):
+        stream = self.open_connection()
+        plain = len(stream.sent)
+        stream.on_data(ACK)
+        self.assertLess(max(self.frame_sizes(stream, 5)[1:]), plain / 2)
+        self.deliver(stream)
+        self.assertEqual(self.received, [("me", Hello(True))] * 6)
+
+    def test_an_older_receiver_gets_plain_frames(self):
+        stream = self.open_connection()
+        stream.on_data(b"\x01")
+        self.assertEqual(len(set(self.frame_sizes(stream, 3))), 1)
+
+    def test_a_new_connection_starts_anew(self):
+        first = self.open_connection()
+        first.on_data(ACK)
+        self.send()
+        first.abort()
+        self.advance(0.2)
+        second = self.open_connection()
+        second.on_data(ACK)
+        self.send()
+        self.deliver(second)
+        self.assertEqual(self.received, [("me", Hello(True))] * 2)
+
+    def test_frames_split_at_every_byte(self):
+        stream = self.open_connection()
+        stream.on_data(ACK)
+        self.frame_sizes(stream, 3)
+        accepted = self.accept_connection()
+        for byte in bytes(stream.sent):
+            accepted.on_data(bytes([byte]))
+        self.assertEqual(len(self.received), 4)
+
+    def test_corrupt_frame_closes_the_connection(self):
+        stream = self.open_connection()
+        stream.on_data(ACK)
+        start = len(stream.sent)
+        self.send()
+        stream.sent[start + 4 :] = b"\xff" * (len(stream.sent) - start - 4)
+        self.assertFalse(self.deliver(stream, start).is_open)
+        self.assertEqual(self.counters.counts["undecodable"], 1)
+        self.assertEqual(self.received, [])
+
+    def test_end_of_the_compressed_stream_closes_the_connection(self):
+        stream = self.accept_connection()
+        data = zlib.compressobj(wbits=-12)
+        data = data.compress(b"x") + data.flush()
+        stream.on_data(struct.pack("<I", len(data) | COMPRESSED) + data)
+        self.assertFalse(stream.is_open)
+
+    def test_frame_that_expands_over_the_limit_closes_the_connection(self):
+        compressor = FrameCompressor()
+        decompressor = FrameDecompressor(1_000)
+        self.assertEqual(decompressor.decompress(compressor.compress(b"x")), b"x")
+        with self.assertRaises(CompressionError):
+            decompressor.decompress(compressor.compress(b"x" * 100_000))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -19,6 +19,7 @@
 from snipebay_policy.rate_limits import RateLimitTable
 from snipebay_policy.reach import ReachMonitor
 from snipebay_policy.region_shares import RegionShares
+from snipebay_policy.renewal_pacing import renewal_interval_s
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_times import ServiceTimes
 from snipebay_policy.shares import ShareMeter
@@ -42,8 +43,8 @@
 
     Attributes:
         row: :class:`EntryRow` of this instance in the view.
-        renew_interval_s: Interval between two renewals of the lease.
-        startup_renew_interval_s: The same before a traffic plan is in force here.
+        renew_interval_s: Shortest interval between two renewals of the lease.
+        startup_renew_interval_s: The same before the first lease is granted.
         share_update_interval_s: Interval between two updates of the region shares.
         max_shift_per_s: Largest share of requests that changes region per second.
         max_spill_share: Share of requests that may leave the region assigned to
@@ -103,6 +104,7 @@
         self._events = []
         self._logged_shares = {}
         self._next_renew_s = 0.0
+        self._lease_s = 0.0
         self._next_share_update_s = 0.0
         self._confirmed_s = 0.0
         self._sampled_s = 0.0
@@ -285,13 +287,14 @@
     # --- control ----------------------------------------------------------
 
     def _renew(self, now_s):
-        wait_s = (
-            self.cfg.renew_interval_s
-            if self.is_ready
-            else self.cfg.startup_renew_interval_s
+        interval_s = renewal_interval_s(
+            self.cfg.renew_interval_s, self._lease_s, len(self.view.entries)
         )
-        self._next_renew_s = now_s + wait_s
-        if now_s - self._confirmed_s > 2 * self.cfg.renew_interval_s:
+        is_starting = not self._lease_s
+        self._next_renew_s = now_s + (
+            self.cfg.startup_renew_interval_s if is_starting else interval_s
+        )
+        if now_s - self._confirmed_s > 2 * interval_s:
             self.commands.clear_leader()
         self._send_renew(self.commands.target(), now_s)
 
@@ -336,6 +339,8 @@
                 self._send_renew(msg.leader, now_s)
             return
         self._confirmed_s = now_s
+        if msg.granted:
+            self._lease_s = msg.lease_ms / 1_000
         self._demand = {}
         for service, region, slots in msg.demand:
             self._demand.setdefault(service, {})[region] = slots
@@ -349,7 +354,8 @@
         view = self.view.apply(delta)
         if view is self.view:
             return
-        if view.plan is not self.view.plan and view.plan is not None:
+        is_new_plan = view.plan is not self.view.plan and view.plan is not None
+        if is_new_plan:
             self.table = RouteTable(view.plan, self.table)
         for event, subject, fields in view_changes(self.view, view):
             self.record_event(event, subject, **fields)
@@ -361,8 +367,9 @@
         self.rate_limits.apply_view(view)
         self.forward.queue.permits.apply_view(view)
         self._update_shares(now_s)
-        # Report the new revision at once: operators see from it what is in force.
-        self._renew(now_s)
+        if is_new_plan:
+            # Operators see from the reports what is in force.
+            self._renew(now_s)
 
     def _update_shares(self, now_s):
         services = self.table.services if self.table else ()
