Expect other backend servers to be slower until their responses say otherwise

Cause: an instance that sees two requests a second has no samples of other tiers; once it met keys at primary servers that had not cached them, all tiers looked equal. Change: a tier's average counts as it gets samples; before, a multiple of the primary's.

--- a/packages/snipebay-policy/src/snipebay_policy/service_times.py
+++ b/packages/snipebay-policy/src/snipebay_policy/service_times.py
@@ -18,9 +18,13 @@
 MIN_STALL_S = 1.0
 # Factor applied to the slowest response time on each faster response.
 SLOWEST_DECAY = 0.99
-# Averages before the first sample. Their differences make a request wait briefly for
-# the primary backend server.
+# Averages before the first sample.
 INITIAL_S = (0.2, 0.3, 0.4)
+# Expected times as multiples of those of the primary backend server until there are
+# samples of a tier.
+INITIAL_RATIOS = (1.0, 1.5, 3.0)
+# Samples after which a tier's own average counts alone.
+MIN_SAMPLES = 20
 
 
 @attrs.define
@@ -33,19 +37,29 @@
         mean_s: The same over all tiers.
         slowest_s: Decaying maximum over all requests, including those that waited
             for a slot; infinite before the first response.
+        samples: Number of samples by tier.
     """
 
     by_tier: list = attrs.Factory(lambda: list(INITIAL_S))
     mean_s: float = INITIAL_S[PRIMARY]
     slowest_s: float = math.inf
+    samples: list = attrs.Factory(lambda: [0] * len(INITIAL_S))
 
     def expected_s(self, tier):
         """Return the expected time to a response when a slot is free.
 
         A tier is never expected to be faster than the tiers before it, whatever a
-        small number of samples suggests: those get more requests for the key.
+        small number of samples suggests: those get more requests for the key. An
+        instance that sees few requests would otherwise take all tiers for equal once
+        it has met some keys at primary backend servers that had not cached them.
         """
-        return max(self.by_tier[: tier + 1])
+        return max(self._blended_s(t) for t in range(tier + 1))
+
+    def _blended_s(self, tier):
+        """Return a tier's average, blended with the initial ratio for few samples."""
+        weight = min(1.0, self.samples[tier] / MIN_SAMPLES)
+        initial_s = self.by_tier[PRIMARY] * INITIAL_RATIOS[tier]
+        return weight * self.by_tier[tier] + (1.0 - weight) * initial_s
 
     @property
     def stall_timeout_s(self):
@@ -59,5 +73,6 @@
 
     def record_unqueued(self, elapsed_s, tier):
         """Record the time to a response to a request that found a free slot."""
+        self.samples[tier] += 1
         self.by_tier[tier] += SAMPLE_WEIGHT * (elapsed_s - self.by_tier[tier])
         self.mean_s += SAMPLE_WEIGHT * (elapsed_s - self.mean_s)
