Count affinity keys over all instances, and cache a share of them in each domain

Cause: each instance counted the keys that it met itself (30 of 300 at 185 instances), so every failure domain had primaries of its own although its servers cache fewer keys than that: 14 to 17 keys for 15 places on the large site, more in small regions. Change: instances report a bitmap of keys by service and region (key_sketch.py, linear counting), control joins them and tells the counts; a domain has own primaries for the share of keys that its servers can cache, so a count that moves a little moves few keys.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -42,6 +42,8 @@
     messages.VoteRequest,
 )
 COMMAND_TYPE = tuple[str, bytes]
+# Interval between two counts of the affinity keys, which change slowly.
+KEY_COUNT_INTERVAL_S = 0.5
 
 
 @attrs.frozen
@@ -117,6 +119,8 @@
         self._drained = ()
         self._demand = ()
         self._isolated = ()
+        self._key_counts = ()
+        self._next_key_count_s = 0.0
         self._lease_settings_revision = 0
         self._next_clock_s = 0.0
         self._applied_index = self.raft.commit_index
@@ -161,6 +165,9 @@
         self._drained = self.sessions.drained(self.state, now_s)
         self._demand = self.sessions.demand(self.state)
         self._isolated = self.sessions.isolated(self.state)
+        if now_s >= self._next_key_count_s:
+            self._next_key_count_s = now_s + KEY_COUNT_INTERVAL_S
+            self._key_counts = self.sessions.key_counts(self.state)
         self.rate_limits.expire(self.state.backends, self._now_s)
         self._update_backend_leases()
         self._remove_expired()
@@ -229,6 +236,7 @@
         self._pushed_settled.clear()
         self._settled_by_region = {}
         self._drained = ()
+        self._key_counts = ()
         self._next_clock_s = 0.0
         self.rate_limits.start(self.raft.term)
         self.sessions.start(self.state, self._now_s)
@@ -352,6 +360,7 @@
             controls=self.controls,
             demand=self._demand,
             isolated=self._isolated,
+            key_counts=self._key_counts,
         )
 
     def _settled(self, region):
--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -1,10 +1,15 @@
 """Leases of entry instances and backend servers, kept in the leader's memory."""
 
 import attrs
+from snipebay_model.key_sketch import estimate_count, join_sketches
 from snipebay_model.messages import Renew
 
 __all__ = ["LeaseTiming", "Sessions"]
 
+# Share of the entry instances that must have reported before their keys are counted: a
+# new leader would otherwise announce a few, and keys would move.
+MIN_REPORTED_SHARE = 0.8
+
 
 @attrs.frozen
 class LeaseTiming:
@@ -132,6 +137,21 @@
                 totals[key] = totals.get(key, 0.0) + count
         return tuple((*key, totals[key]) for key in sorted(totals))
 
+    def key_counts(self, state):
+        """Return rows of service, region and the number of affinity keys sent there."""
+        reports = [self._report(row) for row in state.entries.values()]
+        known = [msg for msg in reports if msg is not None]
+        if len(known) < MIN_REPORTED_SHARE * len(reports):
+            return ()
+        sketches = {}
+        for msg in known:
+            for service, region, data in msg.key_sketches:
+                sketches.setdefault((service, region), []).append(data)
+        return tuple(
+            (*key, estimate_count(join_sketches(rows)))
+            for key, rows in sorted(sketches.items())
+        )
+
     def isolated(self, state):
         """Return the ids of entry instances that reach no backend server."""
         reports = ((row.entry_id, self._report(row)) for row in state.entries.values())
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -312,6 +312,8 @@
         rate_limits: Rate limits of which the sender knows more than control.
         rate_limits_version: Version of the rate limits that the sender received last.
         is_isolated: True while the sender reaches no backend server.
+        key_sketches: Rows of service, region and the bits of the affinity keys that
+            the sender lately sent there, see :mod:`snipebay_model.key_sketch`.
     """
 
     row: EntryRow
@@ -325,6 +327,7 @@
     rate_limits: tuple[RateLimitReport, ...] = ()
     rate_limits_version: tuple[int, int] = (0, 0)
     is_isolated: bool = False
+    key_sketches: tuple[tuple[str, str, bytes], ...] = ()
 
 
 @attrs.frozen
@@ -350,6 +353,8 @@
         rate_limits: Rate limits in force, or None when the receiver has this version.
         rate_limits_version: Term of the leader and number of its last change.
         isolated: Ids of the entry instances that reach no backend server.
+        key_counts: Rows of service, region and the number of affinity keys that all
+            instances send there; empty while too few have reported.
     """
 
     leader: str
@@ -366,3 +371,4 @@
     rate_limits: tuple[RateLimitReport, ...] | None = None
     rate_limits_version: tuple[int, int] = (0, 0)
     isolated: tuple[str, ...] = ()
+    key_counts: tuple[tuple[str, str, int], ...] = ()
--- a/packages/snipebay-policy/src/snipebay_policy/affinity_tiers.py
+++ b/packages/snipebay-policy/src/snipebay_policy/affinity_tiers.py
@@ -32,11 +32,11 @@
     def find(self, service, members, key, key_count):
         """Return affinity tiers for a key, by id, of members of one region.
 
-        A failure domain with enough members to cache all keys has a primary of its
-        own for each key, which avoids traffic between failure domains; the other
-        domains share the first primary of the region. The primaries of other failure
-        domains are secondary: they have the key's data cached as well, so a request
-        there displaces no other data.
+        The members of a failure domain cache a share of the keys, which have a primary
+        there, so that their requests don't leave it. The callers of other failure
+        domains share the primary that ranks first. Primaries of other failure domains
+        are secondary: they have the key's data cached as well, so a request there
+        displaces no other data.
 
         Args:
             service: Service of the members.
@@ -49,10 +49,12 @@
         primaries = {}
         for member in ranked:
             domain = member.row.domain
-            if counts[domain] * CACHED_KEYS >= key_count:
+            share = counts[domain] * CACHED_KEYS / max(1, key_count)
+            if share >= 1.0 or _hash_share(key, domain) < share:
                 primaries.setdefault(domain, member.row.backend_id)
         ids = [m.row.backend_id for m in ranked]
-        primary = primaries.get(self.domain) or next(iter(ids), None)
+        shared = next((i for i in primaries.values()), next(iter(ids), None))
+        primary = primaries.get(self.domain) or shared
         secondaries = [i for i in primaries.values() if i != primary]
         secondaries = secondaries or [i for i in ids if i != primary][:1]
         return {**dict.fromkeys(secondaries, SECONDARY), primary: PRIMARY}
@@ -67,3 +69,9 @@
             if name not in ranks:
                 ranks[name] = rendezvous_rank(key, name)
         return sorted(members, key=lambda m: ranks[m.row.backend_id])
+
+
+def _hash_share(key, domain):
+    """Return a number from 0 to 1 that decides whether a domain caches a key."""
+    digest = rendezvous_rank(key, domain)
+    return int.from_bytes(digest) / (1 << (8 * len(digest)))
--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -82,6 +82,7 @@
                 region,
                 now_s,
                 key=row.key,
+                key_count=self.ctx.key_count(row.service, region) if row.key else 0,
                 times=self.ctx.times(row.service),
                 target_s=row.route.target_latency_s,
                 exclude=row.excluded_backends,
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -145,6 +145,7 @@
         now_s,
         *,
         key,
+        key_count=0,
         times,
         target_s,
         exclude,
@@ -163,6 +164,7 @@
             region: Region to choose from.
             now_s: Time.
             key: Affinity key of the request, or empty.
+            key_count: Number of keys that all instances send to the region.
             times: :class:`ServiceTimes` of the service.
             target_s: Target latency; a later response is of less value.
             exclude: Ids of the backend servers not to choose.
@@ -175,7 +177,6 @@
         """
         own_connections = max(1, connections // max(1, len(self._entries)))
         members = self._responsive(service, region, now_s)
-        key_count = len(self.affinity.get(service, ()))
         tiers = self.tiers.find(service, members, key, key_count) if key else {}
         best, best_cost, best_tier = None, (True, math.inf), PRIMARY
         for member in members:
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -67,6 +67,8 @@
         )
         key = key if route.session_affinity else ""
         region = self.ctx.region_for(service, key, route.allowed_regions)
+        if key and region:
+            self.ctx.record_key(service, region, key, now_s)
         row = ForwardRow(
             request_id, route, service, region, key, now_s, now_s + limit_s
         )
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -4,6 +4,7 @@
 
 import attrs
 from snipebay_model import messages
+from snipebay_model.key_sketch import KeySketch
 from snipebay_model.messages import Renew
 from snipebay_model.plan import RequestLimits, RoutedService
 from snipebay_model.view import View
@@ -30,6 +31,9 @@
 
 # Time constant of the moving averages of needed slots, which instances report.
 NEEDS_WINDOW_S = 2.0
+# Affinity keys are counted for this long after their last request, and up to twice as
+# long.
+KEY_RETENTION_S = 10.0
 # Smallest change of a region's share that is logged.
 LOGGED_SHARE_CHANGE = 0.1
 # A changed rate limit is reported this long before the next renewal is due.
@@ -98,6 +102,8 @@
         self._demand = {}
         self._shares = {}
         self._spill_meters = {}
+        self._key_sketches = {}
+        self._key_counts = {}
         self._times = {}
         self._budgets = {}
         self._needs = {}
@@ -236,6 +242,18 @@
         table.record(key)
         return shares.region_at(table.position(key), allowed)
 
+    def record_key(self, service, region, key, now_s):
+        """Count an affinity key whose requests go to a region."""
+        sketch = self._key_sketches.get((service, region))
+        if sketch is None:
+            sketch = self._key_sketches[service, region] = KeySketch(KEY_RETENTION_S)
+        sketch.record(key, now_s)
+
+    def key_count(self, service, region):
+        """Return the number of affinity keys that all instances send to a region."""
+        own_count = len(self.fleet.affinity.get(service, ()))
+        return max(own_count, self._key_counts.get((service, region), 0))
+
     def spill_meter(self, service):
         """Return the meter of requests that leave the region assigned to them."""
         if service not in self._spill_meters:
@@ -312,9 +330,14 @@
             rate_limits=self.rate_limits.news(now_s),
             rate_limits_version=self.rate_limits.version,
             is_isolated=self.reach.is_isolated,
+            key_sketches=self._read_key_sketches(now_s),
         )
         self.queue_action(Send(target, report))
 
+    def _read_key_sketches(self, now_s):
+        rows = ((*key, s.read(now_s)) for key, s in sorted(self._key_sketches.items()))
+        return tuple(row for row in rows if row[-1])
+
     def _sample_needs(self, now_s):
         """Update the moving averages of running and waiting requests.
 
@@ -344,6 +367,8 @@
         self._demand = {}
         for service, region, slots in msg.demand:
             self._demand.setdefault(service, {})[region] = slots
+        if msg.key_counts:
+            self._key_counts = {(s, region): n for s, region, n in msg.key_counts}
         if msg.delta is not None and msg.delta.base <= self.view.revision:
             self._apply_delta(msg.delta, now_s)
         self.hop_table.update_isolated(msg.isolated)
