Believe a response on a kept connection only with the id of its request

What callers would see: a backend server that writes an earlier refusal once more on a kept connection, without an id, had its next request told 'not run' while it ran, or sent to another backend server as well; an old response without an id was relayed. Cause: a response without an id was taken for the response to the running request. Change: on a connection that carried earlier requests an id is required, on a new one a response without an id is believed and the connection closed after it; two different ids belong to no request. Problems of an instance echo the id, so that hops know them.

--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -118,9 +118,9 @@
         """Send a complete response with a JSON body."""
         self.respond(status, json.dumps(document).encode())
 
-    def problem(self, status, outcome, detail, retry_after_s=None, **extra):
+    def problem(self, status, outcome, detail, retry_after_s=None, headers=(), **extra):
         """Send a problem document as the response."""
-        headers = []
+        headers = list(headers)
         if retry_after_s is not None:
             headers.append(("Retry-After", str(retry_after_s)))
         headers.append(("Snipebay-Outcome", outcome))
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -245,12 +245,24 @@
             exchange.abort()
         else:
             exchange.problem(
-                action.status, action.outcome, action.detail, action.retry_after_s
+                action.status,
+                action.outcome,
+                action.detail,
+                action.retry_after_s,
+                self._echoed_id(request),
             )
         self._record_end(
             request, action.detail, status=action.status, reason=action.reason
         )
 
+    def _echoed_id(self, request):
+        """Return the header by which an instance that sent a request knows its answer.
+
+        Backend servers echo it in their responses as well.
+        """
+        name, value = self.header_names.request_id, request.request_id
+        return [(name, value.encode("latin-1"))] if name and value else []
+
     # --- from backend servers ---------------------------------------------
 
     def may_write(self, attempt_id):
--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -209,6 +209,7 @@
         req: The request in progress, or None while idle.
         last_used_s: Time at which the connection was opened, last given a request
             or last became idle.
+        request_count: Number of requests that were started on it.
         idle_timeout_s: Time after which an idle connection is closed.
     """
 
@@ -219,28 +220,31 @@
         self.parser = h11.Connection(h11.CLIENT)
         self.last_used_s = pool.clock()
         self.req = None
-        self._response = None
-        self._body = bytearray()
-        self._is_not_run = False
-        self._refusal_bytes = 0
-        self._informational_count = 0
+        self.request_count = 0
         self.idle_timeout_s = IDLE_TIMEOUT_S
+        self._reset_response()
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
         stream.on_connected = self._write_request
 
     def start(self, req):
         self.req = req
+        self.request_count += 1
         self.last_used_s = self.pool.clock()
+        self._reset_response()
+        if not self.stream.is_open:
+            self._fail("no connection")
+        elif not self.stream.is_connecting:
+            self._write_request()
+
+    def _reset_response(self):
+        """Prepare for the response to a new request."""
         self._response = None
         self._body = bytearray()
+        self._is_identified = False
         self._is_not_run = False
         self._refusal_bytes = 0
         self._informational_count = 0
-        if not self.stream.is_open:
-            self._fail("no connection")
-        elif not self.stream.is_connecting:
-            self._write_request()
 
     def abandon(self):
         """Close the connection without notifying the listener."""
@@ -317,9 +321,9 @@
     def _on_head(self, event, listener, attempt_id):
         header_names = self.pool.header_names
         headers = dict(event.headers)
-        echoed = headers.get(header_names.request_id, self.req.request_id)
-        if echoed != self.req.request_id:
-            self._fail(f"an answer to {echoed!r}")
+        mismatch = self._identify(event.headers)
+        if mismatch is not None:
+            self._fail(mismatch)
             self.stream.abort()
             return
         self._response = event
@@ -333,6 +337,25 @@
             pairs = [(bytes(name), bytes(value)) for name, value in event.headers]
             listener.on_head(attempt_id, event.status_code, pairs)
 
+    def _identify(self, headers):
+        """Return why a response may belong to another request, or None.
+
+        Without an id, a response to the first request of a connection is accepted;
+        on a later one it could be the response to an earlier request, sent again.
+        """
+        expected = self.req.request_id
+        if not expected or not self.pool.header_names.request_id:
+            self._is_identified = True
+            return None
+        echoed = [v for n, v in headers if n == self.pool.header_names.request_id]
+        other = next((value for value in echoed if value != expected), None)
+        if other is not None:
+            return f"an answer to {other!r}"
+        self._is_identified = bool(echoed)
+        if not echoed and self.request_count > 1:
+            return "an answer without the request's id"
+        return None
+
     def _apply_keep_alive(self, value):
         """Derive the idle timeout from a backend server's Keep-Alive header."""
         for part in value.split(b","):
@@ -374,7 +397,9 @@
             self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
         )
         # Trailing bytes would be parsed as the response to the next request.
-        is_reusable = is_ended and not self.parser.trailing_data[0]
+        is_reusable = (
+            is_ended and self._is_identified and not self.parser.trailing_data[0]
+        )
         if is_reusable and self.stream.is_open:
             self.parser.start_next_cycle()
             self.last_used_s = self.pool.clock()
--- a/packages/snipebay-node/tests/test_hops.py
+++ b/packages/snipebay-node/tests/test_hops.py
@@ -67,6 +67,10 @@
         self.backend_stream(1).on_data(RESPONSE)
         self.assertIn(b"200", self.response)
 
+    def test_refusal_that_an_instance_writes_bears_the_id_of_the_request(self):
+        self.send_request(extra="Snipebay-Hop: 0\r\n")
+        self.assertIn(b"\r\nid: 7\r\n", self.response.lower())
+
     def test_refusal_by_all_carries_the_time_to_return(self):
         self.send_request("/u/x", "POST", "Content-Length: 0\r\n")
         for number in (0, 1):
