Keep an index of the open backend servers by service and region

Change: MemberIndex follows the view; hashes and times are computed once a choice. Decisions are the same (test_fleet).

--- a/packages/snipebay-policy/src/snipebay_policy/affinity_tiers.py
+++ b/packages/snipebay-policy/src/snipebay_policy/affinity_tiers.py
@@ -46,12 +46,16 @@
         """
         ranked = self._ranked(service, members, key)
         counts = collections.Counter(m.row.domain for m in ranked)
+        places = {d: n * CACHED_KEYS / max(1, key_count) for d, n in counts.items()}
+        caching = {
+            domain
+            for domain, share in places.items()
+            if share >= 1.0 or _hash_share(key, domain) < share
+        }
         primaries = {}
         for member in ranked:
-            domain = member.row.domain
-            share = counts[domain] * CACHED_KEYS / max(1, key_count)
-            if share >= 1.0 or _hash_share(key, domain) < share:
-                primaries.setdefault(domain, member.row.backend_id)
+            if member.row.domain in caching:
+                primaries.setdefault(member.row.domain, member.row.backend_id)
         ids = [m.row.backend_id for m in ranked]
         shared = next((i for i in primaries.values()), next(iter(ids), None))
         primary = primaries.get(self.domain) or shared
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -5,7 +5,8 @@
 
 from snipebay_policy.affinity_tiers import AffinityTiers
 from snipebay_policy.fleet_rows import Choice, FleetCounts, FleetTiming, Member
-from snipebay_policy.service_times import MIN_STALL_S, OTHER, PRIMARY
+from snipebay_policy.member_index import MemberIndex
+from snipebay_policy.service_times import MIN_STALL_S, OTHER, PRIMARY, SECONDARY
 from snipebay_policy.slot_assignment import rendezvous_rank
 
 __all__ = ["Fleet"]
@@ -57,6 +58,8 @@
         self.timing = timing or FleetTiming()
         self.members = {}
         self._by_service = {}
+        self._open = MemberIndex()
+        self._ejected_until_s = -math.inf
         self._evacuated = frozenset()
         self._entries = ()
         self._cold_owners = {}
@@ -79,6 +82,16 @@
         self._evacuated = frozenset(view.evacuated)
         self._entries = tuple(r.entry_id for r in view.entries if not r.leaving)
         self._cold_owners.clear()
+        self._update_index()
+
+    def _update_index(self):
+        members = (m for m in self.members.values() if self._is_open(m))
+        self._open = MemberIndex.from_members(members)
+
+    def mark_stale(self, member):
+        """Stop using a member whose address another backend server has now."""
+        member.is_stale = True
+        self._update_index()
 
     def open_rows(self):
         """Return the rows of the members that may get requests, by failures or not."""
@@ -97,15 +110,25 @@
 
         When all of them are ejected, the one whose ejection ends first is returned.
         """
-        found = [m for m in self._by_service.get(service, ()) if self._is_open(m)]
+        found = self._open.of_service(service)
+        if now_s >= self._ejected_until_s:
+            return found
         healthy = [m for m in found if now_s >= m.ejected_until_s]
         return healthy or sorted(found, key=lambda m: m.ejected_until_s)[:1]
 
+    def _usable_in(self, service, region, now_s):
+        """Return the usable members of a service in a region."""
+        if now_s >= self._ejected_until_s:
+            return self._open.of_region(service, region)
+        return [m for m in self.usable(service, now_s) if m.row.region == region]
+
     def capacity(self, service, now_s):
         """Return the slots of usable members by region.
 
         A member with a rate limit counts with the slots that its rate can fill.
         """
+        if now_s >= self._ejected_until_s and not self.rate_shares:
+            return self._open.slots(service)
         slots = {}
         for member in self.usable(service, now_s):
             region = member.row.region
@@ -178,6 +201,8 @@
         own_connections = max(1, connections // max(1, len(self._entries)))
         members = self._responsive(service, region, now_s)
         tiers = self.tiers.find(service, members, key, key_count) if key else {}
+        expected_s = [times.expected_s(tier) for tier in (PRIMARY, SECONDARY, OTHER)]
+        queue_s = target_s - expected_s[PRIMARY]
         best, best_cost, best_tier = None, (True, math.inf), PRIMARY
         for member in members:
             row = member.row
@@ -190,12 +215,12 @@
             if member.ejections and member.in_flight:
                 # After an ejection, one request at a time until one succeeds.
                 continue
-            if load >= _max_load(row.slots, tier, times, target_s):
+            if load >= _max_load(row.slots, tier, queue_s, times.mean_s):
                 continue
             if not self._may_send_cold(member, cold_per_s, now_s):
                 continue
             queued = max(0.0, load + 1 - row.slots)
-            cost = times.expected_s(tier) + queued / row.slots * times.mean_s
+            cost = expected_s[tier] + queued / row.slots * times.mean_s
             cost += load / row.slots * FULL_LOAD_COST_S
             cost += CROSS_DOMAIN_COST_S if row.domain != self.domain else 0.0
             ranked = (row.domain in avoid_domains, cost)
@@ -209,7 +234,7 @@
         When a large share of them is unresponsive, all are returned: the service as a
         whole is slow then.
         """
-        found = [m for m in self.usable(service, now_s) if m.row.region == region]
+        found = self._usable_in(service, region, now_s)
         responsive = [m for m in found if not m.is_unresponsive(now_s)]
         minimum = len(found) * (1 - self.timing.eject_ceiling)
         return responsive if len(responsive) >= minimum else found
@@ -249,6 +274,7 @@
         span_s = self.timing.eject_s * 2**member.ejections
         member.ejections += 1
         member.ejected_until_s = now_s + min(span_s, self.timing.max_eject_s)
+        self._ejected_until_s = max(self._ejected_until_s, member.ejected_until_s)
         return True
 
     def _state(self, member, now_s):
@@ -301,14 +327,19 @@
         return member
 
 
-def _max_load(slots, tier, times, target_s):
+def _max_load(slots, tier, queue_s, mean_s):
     """Return the load below which a backend server may get one more request.
 
     A request that would wait there for longer than the target latency allows gets
     a late response, and takes a slot from a request that could still be on time.
+
+    Args:
+        slots: Slots of the backend server.
+        tier: Its affinity tier for the request's key.
+        queue_s: Time that a request to a primary backend server may wait there.
+        mean_s: Mean service time.
     """
     if tier != PRIMARY:
         return slots * (OTHER_LOAD_SHARE if tier == OTHER else SECONDARY_LOAD_SHARE)
-    spare_s = target_s - times.expected_s(tier)
-    queue = slots * spare_s / max(times.mean_s, MIN_SERVICE_S)
+    queue = slots * queue_s / max(mean_s, MIN_SERVICE_S)
     return slots + min(max(queue, MIN_QUEUE), slots * MAX_QUEUE_SHARE)
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -193,7 +193,7 @@
             return
         self._record_response(row, now_s)
         if is_misdirected:
-            row.attempt.member.is_stale = True
+            self.ctx.fleet.mark_stale(row.attempt.member)
         if row.is_relayed:
             self._remove(row)
             return
--- a/packages/snipebay-policy/tests/test_fleet.py
+++ b/packages/snipebay-policy/tests/test_fleet.py
@@ -86,7 +86,7 @@
             for row in self.view.backends
         )
         self.apply_view(backends=rows, evacuated=("a-2",))
-        self.fleet.members["a-1-1"].is_stale = True
+        self.fleet.mark_stale(self.fleet.members["a-1-1"])
         usable = [m.row.backend_id for m in self.fleet.usable("s", 0.0)]
         self.assertEqual([i for i in usable if i[0] == "a"], ["a-1-2"])
 
