Tick seldom while no request waits for a slot

Cause: each instance ran its periodic work 40 times a second, though all that it can do between events is to note deadlines and renewals. Change: 0.1 s without waiting requests; a request that begins to wait brings the next tick forward. Instances with the control role keep 0.025 s.

--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -36,7 +36,10 @@
 
 __all__ = ["RoutedNode", "RoutedSettings"]
 
-TICK_S = 0.025
+# Interval of the periodic work while requests wait for a slot, or with the control
+# role, and at other times, when only deadlines and renewals are due.
+BUSY_TICK_S = 0.025
+IDLE_TICK_S = 0.1
 # Delay before opening an unusable data folder again.
 STORAGE_RETRY_DELAY_S = 0.5
 # Election timeouts that differ by more than a round trip between regions (0.07 s)
@@ -134,7 +137,7 @@
         self.metrics.registry.register(
             StateCollector(self.clock, lambda: self.entry, lambda: self.control)
         )
-        Ticker(TICK_S, self._on_tick, self.clock).register(self)
+        self._ticker = Ticker(BUSY_TICK_S, self._on_tick, self.clock).register(self)
 
     # --- state ------------------------------------------------------------
 
@@ -242,8 +245,22 @@
                 self.forwarder.execute(action)
         return bool(actions)
 
+    def run_actions(self):
+        """Execute the pending actions; tick soon for requests that began to wait."""
+        super().run_actions()
+        if self._ticker.interval_s > BUSY_TICK_S and self._is_busy:
+            self._ticker.interval_s = BUSY_TICK_S
+            self._ticker.expedite(BUSY_TICK_S)
+
     # --- time -------------------------------------------------------------
 
+    @property
+    def _is_busy(self):
+        """True while there is work that the next tick may be able to do."""
+        if self.settings.data or self.is_stopping:
+            return True
+        return self.entry is None or self.entry.forward.queue.is_waiting
+
     def _on_tick(self, now_s):
         if self.control is not None:
             self.control.tick(now_s)
@@ -263,6 +280,7 @@
         self._log_changes(now_s)
         if self.is_stopping:
             self._continue_shutdown(now_s)
+        self._ticker.interval_s = BUSY_TICK_S if self._is_busy else IDLE_TICK_S
 
     def _update_leader(self):
         """Pass the leader to the control client, and log changes of the group."""
--- a/packages/snipebay-node/src/snipebay_node/ticker.py
+++ b/packages/snipebay-node/src/snipebay_node/ticker.py
@@ -17,22 +17,29 @@
         interval_s: Interval between calls in seconds.
         on_tick: Called with the monotonic time in seconds.
         clock: Function returning the monotonic time in seconds.
+
+    Attributes:
+        interval_s: Interval from the next call on.
     """
 
     channel = "ticker"
 
     def __init__(self, interval_s, on_tick, clock=time.monotonic):
         super().__init__()
-        self._interval_s = interval_s
+        self.interval_s = interval_s
         self._on_tick = on_tick
         self._clock = clock
         self._next_tick_s = clock() + interval_s
 
+    def expedite(self, delay_s):
+        """Make the next call within a delay, if it would come later."""
+        self._next_tick_s = min(self._next_tick_s, self._clock() + delay_s)
+
     @handler("generate_events")
     def _on_generate_events(self, event):
         now_s = self._clock()
         if now_s >= self._next_tick_s:
             # Missed ticks are skipped.
-            self._next_tick_s = now_s + self._interval_s
+            self._next_tick_s = now_s + self.interval_s
             self._on_tick(now_s)
         event.reduce_time_left(max(0.0, self._next_tick_s - self._clock()))
--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -40,6 +40,11 @@
         self._fail_request = fail_request
         self._attempt_ids = itertools.count(1)
 
+    @property
+    def is_waiting(self):
+        """True while any request waits."""
+        return any(self.waiting.values())
+
     def add(self, row):
         """Add a request, without dispatching it."""
         self.waiting.setdefault(row.service, {})[row.request_id] = row
