Send changes of the traffic plan to instances as patches

After the configuration grew by 1,940 routes, each change, 25 of them within 1.5 s, sent the whole plan to 185 instances, whose links carry 2 Mbit/s. Change: control keeps the last plans that were replaced and sends what each change altered (PlanPatch), to instances that say that they read it; the whole plan otherwise. An instance whose plan a patch doesn't fit asks for the whole view.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -298,7 +298,12 @@
             has_changes = is_due and base < state.revision
             if has_changes or settled > self._pushed_settled.get(entry_id, 0):
                 self._pacer.record_sent(row, state.revision, now_s)
-                reply = self._renew_reply(row.region, base, granted=False)
+                reply = self._renew_reply(
+                    row.region,
+                    base,
+                    granted=False,
+                    reads_plan_patches=report.reads_plan_patches,
+                )
                 self._outbox.append((entry_id, reply))
             self._pushed_settled[entry_id] = settled
 
@@ -323,7 +328,11 @@
         if known or base < self.state.revision:
             self._pacer.record_sent(msg.row, self.state.revision, self._now_s)
         reply = self._renew_reply(
-            msg.row.region, base, granted=known, sent_ms=msg.sent_ms
+            msg.row.region,
+            base,
+            granted=known,
+            sent_ms=msg.sent_ms,
+            reads_plan_patches=msg.reads_plan_patches,
         )
         limits = self.rate_limits.reports(msg.rate_limits_version, self._now_s)
         reply = attrs.evolve(
@@ -347,7 +356,9 @@
             self.sessions.grant_entry(row.entry_id, self._now_s)
             self._propose_once(messages.PutEntry(row))
 
-    def _renew_reply(self, region, base, *, granted, sent_ms=0):
+    def _renew_reply(
+        self, region, base, *, granted, sent_ms=0, reads_plan_patches=False
+    ):
         return RenewReply(
             leader=self.leader_id,
             granted=granted,
@@ -355,7 +366,7 @@
             lease_ms=int(self.cfg.leases.entry_lease_s * 1_000),
             settled_floor=self._settled(region),
             quorum_revision=self.state.revision,
-            delta=self.state.delta(base),
+            delta=self.state.delta(base, reads_plan_patches=reads_plan_patches),
             drained=self._drained,
             controls=self.controls,
             demand=self._demand,
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -13,6 +13,7 @@
 from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
 
 from snipebay_control.claims import ClaimRow, ClaimTable
+from snipebay_control.plan_history import PlanHistory
 from snipebay_control.registry import Registry, Tombstone
 
 __all__ = ["ControlState"]
@@ -86,6 +87,7 @@
         self._change_outcomes = collections.OrderedDict()
         self._journal = collections.deque(maxlen=MAX_JOURNAL_ROWS)
         self._deltas = {}
+        self._plan_history = PlanHistory()
         self._handlers = {
             messages.ApplySettings: self._apply_settings,
             messages.ApplyPlan: self._apply_plan,
@@ -158,19 +160,24 @@
         """Return the view at the current revision."""
         return View().apply(self._full_delta())
 
-    def delta(self, base):
+    def delta(self, base, *, reads_plan_patches=False):
         """Return the changes since a revision, or None if there are none.
 
         The delta contains the full view if the journal doesn't reach back to the
         revision.
+
+        Args:
+            base: The revision.
+            reads_plan_patches: True if the receiver can apply patches of the plan.
         """
         if base >= self.revision:
             return None
-        if base not in self._deltas:
-            self._deltas[base] = self._compute_delta(base)
-        return self._deltas[base]
+        key = base, reads_plan_patches
+        if key not in self._deltas:
+            self._deltas[key] = self._compute_delta(base, reads_plan_patches)
+        return self._deltas[key]
 
-    def _compute_delta(self, base):
+    def _compute_delta(self, base, reads_plan_patches):
         first = self._journal[0][0] if self._journal else self.revision + 1
         if base < first - 1:
             return self._full_delta()
@@ -182,6 +189,8 @@
         backends = sorted(row_id for table, row_id in rows if table == "backends")
         entries = sorted(row_id for table, row_id in rows if table == "entries")
         settings_changed = ("settings", "") in rows
+        plan_changed = ("plan", "") in rows
+        patches = self._plan_patches(base) if reads_plan_patches else None
         return ViewDelta(
             base=base,
             revision=self.revision,
@@ -191,10 +200,11 @@
             backends_gone=tuple(i for i in backends if i not in self.backends),
             entries=tuple(self.entries[i] for i in entries if i in self.entries),
             entries_gone=tuple(i for i in entries if i not in self.entries),
-            plan=self._plan_for_entries() if ("plan", "") in rows else None,
+            plan=self._plan_for_entries() if plan_changed and not patches else None,
             evacuated=(
                 tuple(sorted(self.evacuated)) if ("evacuated", "") in rows else None
             ),
+            plan_patches=patches or (),
         )
 
     def _full_delta(self):
@@ -210,6 +220,15 @@
             evacuated=tuple(sorted(self.evacuated)),
         )
 
+    def _plan_patches(self, base):
+        """Return the patches of the plan since a revision, None without all of them."""
+        revisions = [
+            revision
+            for revision, table, _ in self._journal
+            if table == "plan" and revision > base
+        ]
+        return self._plan_history.patches(revisions, self.plan) if revisions else None
+
     def _plan_for_entries(self):
         return self.plan.without_source() if self.plan else None
 
@@ -279,11 +298,13 @@
         if cmd.plan.version <= version:
             detail = f"version {cmd.plan.version!r} is not above {version!r}"
             return Outcome("invalid", self.revision, detail)
-        self.plan = cmd.plan
+        old, self.plan = self.plan, cmd.plan
         self._plan_digests[cmd.digest] = None
         if len(self._plan_digests) > MAX_CHANGE_IDS:
             self._plan_digests.popitem(last=False)
-        return Outcome("ok", self._record_change("plan"))
+        revision = self._record_change("plan")
+        self._plan_history.record(revision, old)
+        return Outcome("ok", revision)
 
     def _evacuate(self, cmd):
         if cmd.evacuated == (cmd.domain in self.evacuated):
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -314,6 +314,8 @@
         is_isolated: True while the sender reaches no backend server.
         key_sketches: Rows of service, region and the bits of the affinity keys that
             the sender lately sent there, see :mod:`snipebay_model.key_sketch`.
+        reads_plan_patches: True if the sender can apply patches of the plan. An older
+            build can't, and would miss a change.
     """
 
     row: EntryRow
@@ -328,6 +330,7 @@
     rate_limits_version: tuple[int, int] = (0, 0)
     is_isolated: bool = False
     key_sketches: tuple[tuple[str, str, bytes], ...] = ()
+    reads_plan_patches: bool = False
 
 
 @attrs.frozen
--- a/packages/snipebay-model/src/snipebay_model/view.py
+++ b/packages/snipebay-model/src/snipebay_model/view.py
@@ -3,6 +3,7 @@
 import attrs
 
 from snipebay_model.plan import Plan
+from snipebay_model.plan_patch import PlanPatch
 
 __all__ = ["BackendRow", "EntryRow", "View", "ViewDelta"]
 
@@ -101,7 +102,8 @@
             delta: Changes since a revision that this view has reached.
 
         Raises:
-            ValueError: If the delta starts after this view's revision.
+            ValueError: If the delta starts after this view's revision, or its patches
+                don't apply to this view's plan.
         """
         if delta.base > self.revision:
             raise ValueError(
@@ -128,10 +130,18 @@
                 delta.entries_gone,
                 "entry_id",
             ),
-            plan=delta.plan or self.plan,
+            plan=delta.plan or self._patched_plan(delta.plan_patches),
             evacuated=(self.evacuated if delta.evacuated is None else delta.evacuated),
         )
 
+    def _patched_plan(self, patches):
+        """Return the plan after the patches that it doesn't contain yet."""
+        plan = self.plan
+        for patch in patches:
+            if plan is None or patch.version > plan.version:
+                plan = patch.apply(plan)
+        return plan
+
 
 @attrs.frozen
 class ViewDelta:
@@ -148,8 +158,9 @@
         backends_gone: Ids of rows removed.
         entries: Rows added or changed.
         entries_gone: Ids of rows removed.
-        plan: New traffic plan, or None when unchanged.
+        plan: New traffic plan, or None when unchanged or patched.
         evacuated: All evacuated failure domains, or None when unchanged.
+        plan_patches: Changes of the traffic plan since ``base``, oldest first.
     """
 
     base: int
@@ -163,6 +174,7 @@
     entries_gone: tuple[str, ...] = ()
     plan: Plan | None = None
     evacuated: tuple[str, ...] | None = None
+    plan_patches: tuple[PlanPatch, ...] = ()
 
 
 def _merge(rows, changed, gone, key):
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -112,6 +112,7 @@
         self._next_renew_s = 0.0
         self._lease_s = 0.0
         self._next_share_update_s = 0.0
+        self._needs_whole_view = False
         self._confirmed_s = 0.0
         self._sampled_s = 0.0
 
@@ -323,7 +324,7 @@
         report = Renew(
             self.row,
             int(now_s * 1_000),
-            self.view.revision,
+            0 if self._needs_whole_view else self.view.revision,
             self.view.revision,
             load_reports={
                 s: len(w) for s, w in self.forward.queue.waiting.items() if w
@@ -333,6 +334,7 @@
             rate_limits_version=self.rate_limits.version,
             is_isolated=self.reach.is_isolated,
             key_sketches=self._read_key_sketches(now_s),
+            reads_plan_patches=True,
         )
         self.queue_action(Send(target, report))
 
@@ -378,7 +380,13 @@
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
 
     def _apply_delta(self, delta, now_s):
-        view = self.view.apply(delta)
+        try:
+            view = self.view.apply(delta)
+        except ValueError as exc:
+            self.record_event("view change not applicable", "view", error=str(exc))
+            self._needs_whole_view = True
+            return
+        self._needs_whole_view = False
         if view is self.view:
             return
         is_new_plan = view.plan is not self.view.plan and view.plan is not None
