Tell the callers of refused requests to return when room is expected

Change: retry_delay.py, pure: the delay grows with the share of refused requests and is spread; before the first traffic plan it is the time in which one is expected. Ruled out: the caps of callers (a third of the time left) make longer delays than 3 s pointless.

--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -7,6 +7,7 @@
 from snipebay_policy.forward_rows import ForwardAttempt
 from snipebay_policy.permits import Permission, PermitSystem
 from snipebay_policy.refusals import QueueState, refusal
+from snipebay_policy.retry_delay import RetryDelays
 from snipebay_policy.service_times import PRIMARY
 from snipebay_policy.work import Dispatch
 
@@ -22,13 +23,14 @@
     Args:
         ctx: :class:`RoutedCore` with the tables of this entry instance.
         rules: Rules for all routes.
-        fail_request: Function of request, status, reason, detail and delay before a
-            retry, which ends a request that is not dispatched.
+        fail_request: Function of request, status, reason, detail, time and delay before
+            a retry, which ends a request that is not dispatched.
 
     Attributes:
         waiting: Requests that wait for a slot or a permit, by service and id.
         rows_by_attempt: Requests that were dispatched, by id of the attempt.
         permits: Permits for backend servers with a rate limit.
+        retry_delays: Delays for the callers of refused requests.
     """
 
     def __init__(self, ctx, rules, fail_request):
@@ -37,6 +39,7 @@
         self.waiting = {}
         self.rows_by_attempt = {}
         self.permits = PermitSystem(ctx, self._on_permit)
+        self.retry_delays = RetryDelays(rules.retry_after_s, ctx.row.entry_id)
         self._fail_request = fail_request
         self._attempt_ids = itertools.count(1)
 
@@ -72,7 +75,7 @@
                 after_s = found.due_in_s and max(
                     found.due_in_s, self.rules.retry_after_s
                 )
-                self._fail_request(row, 503, found.reason, found.detail, after_s)
+                self._fail_request(row, 503, found.reason, found.detail, now_s, after_s)
 
     def try_dispatch(self, row, now_s):
         """Return True when a request was dispatched or waits for its permit."""
@@ -188,6 +191,7 @@
     def _dispatch(self, row, choice, now_s):
         """Send a request to a backend server."""
         row.attempt_count += 1
+        self.retry_delays.record_served(row.service, now_s)
         self._start_attempt(row, choice, now_s)
 
     def _start_attempt(self, row, choice, now_s, *, is_hop=False):
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -49,11 +49,13 @@
         """
         table = self.ctx.table
         if self.is_closed:
-            self._refuse(request_id, "stopping", "this instance is about to stop")
+            detail, after_s = "this instance is about to stop", self.rules.retry_after_s
+            self._refuse(request_id, "stopping", detail, after_s)
             return
         if table is None:
             detail = "no traffic plan is in force here yet"
-            self._refuse(request_id, "no_plan", detail)
+            after_s = self.queue.retry_delays.startup_s()
+            self._refuse(request_id, "no_plan", detail, after_s)
             return
         route = table.find(host, path)
         if route is None:
@@ -321,7 +323,7 @@
         if may_repeat and self._acquire_retry(row, now_s):
             self._retry(row, now_s)
         elif attempt.is_written or reason != "connection" or not self._hop(row, now_s):
-            self._fail_request(row, 503, reason, detail, retry_after_s)
+            self._fail_request(row, 503, reason, detail, now_s, retry_after_s)
         self.queue.dispatch_waiting(row.service, now_s)
 
     def _hop(self, row, now_s):
@@ -357,16 +359,21 @@
             self._remove(row)
         else:
             status = 504 if row.may_have_run else 503
-            self._fail_request(row, status, "deadline", "the deadline has passed")
+            self._fail_request(
+                row, status, "deadline", "the deadline has passed", now_s
+            )
         self.queue.dispatch_waiting(row.service, now_s)
 
-    def _fail_request(self, row, status, reason, detail, retry_after_s=None):
+    def _fail_request(self, row, status, reason, detail, now_s, retry_after_s=None):
         """Report a failure to the caller; 503 means that the request did not run."""
         if row.may_have_run and status == 503:
             status = 502
         if row.request_id in self.rows:
-            retry_after_s = retry_after_s or self.rules.retry_after_s
-            retry_after_s = retry_after_s if status == 503 else None
+            if status == 503:
+                delays = self.queue.retry_delays
+                retry_after_s = retry_after_s or delays.refused_s(row.service, now_s)
+            else:
+                retry_after_s = None
             # For a request that was sent, the last dispatch has the inputs.
             inputs = {} if row.attempt_count else self._refusal_reason(row)
             problem_args = (status, reason, detail, retry_after_s, inputs)
@@ -378,12 +385,10 @@
         limits = self.ctx.rate_limits_by_service().get(row.service, ())
         return refusal_reason(row, slots, self.ctx.view.revision, limits)
 
-    def _refuse(self, request_id, reason, detail):
+    def _refuse(self, request_id, reason, detail, after_s):
         """Refuse a request that was not admitted."""
-        after_s = self.rules.retry_after_s
-        self.ctx.queue_action(
-            Problem(request_id, 503, NOT_RUN, detail, after_s, reason)
-        )
+        problem = Problem(request_id, 503, NOT_RUN, detail, after_s, reason)
+        self.ctx.queue_action(problem)
 
     def _end_attempt(self, row):
         attempt, row.attempt = row.attempt, None
