Follow a named leader once for each renewal

Over the network the same: a leader that lost its quorum names itself, and each instance that reaches it renewed again at every round trip, hundreds of them at once. Cause: each reply that named a leader was followed by a renewal, whoever sent it. Change: a reply is followed at most once for each renewal, never to its own sender.

--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -113,6 +113,7 @@
         self._lease_s = 0.0
         self._next_share_update_s = 0.0
         self._needs_whole_view = False
+        self._may_redirect = False
         self._confirmed_s = 0.0
         self._sampled_s = 0.0
 
@@ -152,7 +153,7 @@
         """Handle a message from a control instance or another entry instance."""
         self.commands.now_s = now_s
         if isinstance(body, messages.RenewReply):
-            self._on_renew_reply(body, now_s)
+            self._on_renew_reply(sender, body, now_s)
         elif isinstance(body, messages.CommandReply):
             self.commands.on_reply(body, now_s)
         elif isinstance(body, messages.PermitRequest):
@@ -317,6 +318,7 @@
         )
         if now_s - self._confirmed_s > 2 * interval_s:
             self.commands.clear_leader()
+        self._may_redirect = True
         self._send_renew(self.commands.target(), now_s)
 
     def _send_renew(self, target, now_s):
@@ -355,14 +357,16 @@
             old = self._needs.get(service, 0.0)
             self._needs[service] = old + weight * (found[service] - old)
 
-    def _on_renew_reply(self, msg, now_s):
+    def _on_renew_reply(self, sender, msg, now_s):
         if msg.controls:
             self.commands.controls = tuple(dict.fromkeys((*msg.controls, *self._seeds)))
         if msg.leader:
             self.commands.leader = msg.leader
         if msg.quorum_revision == 0:
-            if msg.leader:
-                # The leader may not be among the known control instances.
+            if msg.leader not in ("", sender) and self._may_redirect:
+                # The leader may not be among the known control instances. One redirect
+                # for each renewal: a leader that lost its quorum names itself.
+                self._may_redirect = False
                 self._send_renew(msg.leader, now_s)
             return
         self._confirmed_s = now_s
--- a/packages/snipebay-policy/tests/test_view_updates.py
+++ b/packages/snipebay-policy/tests/test_view_updates.py
@@ -50,5 +50,46 @@
         self.assertIsNone(self.core.table.find("a.example", "/a/"))
 
 
+class TestControlWithoutQuorum(unittest.TestCase):
+    """A leader that has lost its quorum names itself and grants nothing."""
+
+    def setUp(self):
+        row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
+        self.core = RoutedCore(RoutedConfig(row), ("c1", "c2"))
+
+    def renewals(self):
+        """Return the targets of the renewals that are sent."""
+        actions = self.core.pop_actions()
+        bodies = ((a.target, getattr(a, "body", None)) for a in actions)
+        return [target for target, body in bodies if isinstance(body, Renew)]
+
+    def no_quorum(self, sender, leader):
+        self.core.receive(sender, RenewReply(leader, granted=False), 0.0)
+        return self.renewals()
+
+    def test_a_named_leader_is_asked_at_once(self):
+        self.core.tick(0.0)
+        self.assertEqual(len(self.renewals()), 1)
+        self.assertEqual(self.no_quorum("c1", "c9"), ["c9"])
+
+    def test_a_leader_that_names_itself_is_not_asked_again_at_once(self):
+        self.core.tick(0.0)
+        self.renewals()
+        self.assertEqual(self.no_quorum("c1", "c1"), [])
+
+    def test_two_that_name_each_other_are_not_asked_without_end(self):
+        self.core.tick(0.0)
+        self.renewals()
+        self.assertEqual(self.no_quorum("c1", "c2"), ["c2"])
+        self.assertEqual(self.no_quorum("c2", "c1"), [])
+
+    def test_the_next_renewal_may_be_redirected_again(self):
+        self.core.tick(0.0)
+        self.no_quorum("c1", "c2")
+        self.core.tick(5.0)
+        self.assertEqual(len(self.renewals()), 1)
+        self.assertEqual(self.no_quorum("c1", "c2"), ["c2"])
+
+
 if __name__ == "__main__":
     unittest.main()
