Release a data folder on a full disk, and refuse a damaged identity

The control role was then neither ended nor tried again, and the lock was kept: a full disk for a moment took the instance out of the group for good. A damaged identity raised an error of the decoder. Change: the log is written without a buffer, in full; closing logs what fails. Tests: two new ones in test_storage, with a limit on the file size; both failed before.

--- a/packages/snipebay-node/src/snipebay_node/storage.py
+++ b/packages/snipebay-node/src/snipebay_node/storage.py
@@ -13,6 +13,7 @@
 
 import attrs
 import msgspec
+import structlog
 from snipebay_control.raft_log import HardState, PersistentState, RaftLog, Snapshot
 from snipebay_model.messages import LogEntry
 
@@ -27,6 +28,9 @@
 MAX_RECORD_BYTES = 256 * 1024 * 1024
 
 
+log = structlog.get_logger(__name__)
+
+
 class StorageError(Exception):
     """The data folder can't be used; the message is shown to operators."""
 
@@ -118,9 +122,12 @@
             raise StorageError(f"{self.folder} can't be written: {exc}") from exc
 
     def close(self):
-        """Release the folder."""
-        self._file.close()
-        self._lock.close()
+        """Release the folder, whatever state its disk is in."""
+        for file in (self._file, self._lock):
+            try:
+                file.close()
+            except OSError as exc:
+                log.error("data file not closed", file=file.name, error=str(exc))
 
     # --- files ------------------------------------------------------------
 
@@ -128,7 +135,7 @@
         """Return the incarnation of the folder, creating it in a new folder."""
         path = self.folder / "identity"
         if path.exists():
-            identity = msgspec.json.decode(path.read_bytes(), type=_Identity)
+            identity = _read_identity(path)
             if identity.id != instance_id:
                 raise StorageError(
                     f"{str(self.folder)!r} belongs to instance {identity.id!r}, "
@@ -158,7 +165,7 @@
             self._apply_record(payload)
         if end < len(raw):
             _check_tail(raw, end, path)
-        self._file = open(path, "r+b")  # noqa: SIM115
+        self._file = _open_log(path)
         # A record that a crash left incomplete was never acknowledged.
         self._file.truncate(end)
         self._file.seek(end)
@@ -178,8 +185,7 @@
     def _append_record(self, hard_state, entries):
         start = self._file.tell()
         try:
-            self._file.write(_encode_record(hard_state, entries))
-            self._file.flush()
+            _write_all(self._file, _encode_record(hard_state, entries))
             os.fdatasync(self._file.fileno())
         except OSError:
             self._file.truncate(start)
@@ -190,12 +196,12 @@
         data = msgspec.msgpack.encode(self._log.snapshot)
         packed = msgspec.msgpack.encode(_SnapshotFile(zlib.crc32(data), data))
         self._replace_file(self.folder / "snapshot", packed)
-        log = MAGIC + _encode_record(self._hard_state, self._log.entries)
+        content = MAGIC + _encode_record(self._hard_state, self._log.entries)
         path = self.folder / "log"
-        self._replace_file(path, log)
+        self._replace_file(path, content)
         self._file.close()
-        self._file = open(path, "r+b")  # noqa: SIM115
-        self._file.seek(len(log))
+        self._file = _open_log(path)
+        self._file.seek(len(content))
 
     def _replace_file(self, path, data):
         """Replace a file atomically and sync it; a crash leaves the old or new one."""
@@ -212,6 +218,30 @@
             os.close(folder)
 
 
+def _open_log(path):
+    """Open the log without a buffer, whose bytes a full disk would not let go."""
+    return open(path, "r+b", buffering=0)
+
+
+def _write_all(file, data):
+    """Write all bytes to an unbuffered file, which may take a part at a time."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[file.write(rest) :]
+
+
+def _read_identity(path):
+    """Return the identity in a file.
+
+    Raises:
+        StorageError: If the file is damaged.
+    """
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=_Identity)
+    except msgspec.MsgspecError as exc:
+        raise StorageError(f"{str(path)!r} is damaged: {exc}; {_RESTORE_HINT}") from exc
+
+
 def _encode_record(hard_state, entries):
     """Return one encoded record.
 
--- a/packages/snipebay-node/tests/test_storage.py
+++ b/packages/snipebay-node/tests/test_storage.py
@@ -1,6 +1,7 @@
 """Tests for the data folder: durability and detection of damage."""
 
 import pathlib
+import resource
 import tempfile
 import unittest
 from unittest import mock
@@ -120,6 +121,34 @@
         stored = self.open().load()
         self.assertEqual(len(stored.entries), 6)
 
+    def limit_file_size(self, size):
+        """Let writes beyond a size fail, as on a full disk."""
+        old = resource.getrlimit(resource.RLIMIT_FSIZE)
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_FSIZE, old)
+        resource.setrlimit(resource.RLIMIT_FSIZE, (size, old[1]))
+        return lambda: resource.setrlimit(resource.RLIMIT_FSIZE, old)
+
+    def test_folder_on_a_full_disk_can_be_released_and_used_again(self):
+        self.fill()
+        storage = self.open()
+        size = (self.folder / "log").stat().st_size
+        free = self.limit_file_size(size + 10)
+        with self.assertRaises(StorageError):
+            storage.save(Ready(entries=entries(7, 9)))
+        storage.close()
+        free()
+        reopened = self.open()
+        self.assertEqual(len(reopened.load().entries), 6)
+        reopened.save(Ready(entries=entries(7, 9)))
+        reopened.close()
+        self.assertEqual(len(self.open().load().entries), 9)
+
+    def test_damaged_identity_is_rejected(self):
+        self.fill()
+        (self.folder / "identity").write_bytes(b"{")
+        with self.assertRaisesRegex(StorageError, "damaged"):
+            Storage(str(self.folder), "c1")
+
     def test_each_folder_has_its_own_incarnation(self):
         first = self.open().incarnation
         other = Storage(str(self.folder) + "2", "c1")
