Answer a change with a base before the first settings as a conflict

What operators would see: a change that names a base revision while nothing is set yet raised IndexError while the log was applied, at each control instance, and again after each restart, since the entry stays in the log. Test: one in test_control_core, which failed before.

--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -247,14 +247,14 @@
         if cmd.change_id in self._change_outcomes:
             return self._change_outcomes[cmd.change_id]
         if cmd.base_revision != self.settings_revision:
-            newest = self.changes[-1]
-            detail = (
-                f"base revision {cmd.base_revision!r} is not the current "
-                f"{self.settings_revision!r}, made by {newest.author!r} "
-                f"with change {newest.change_id!r}"
-                if self.changes
-                else f"base revision {cmd.base_revision!r}, nothing is set yet"
-            )
+            detail = f"base revision {cmd.base_revision!r}, nothing is set yet"
+            if self.changes:
+                newest = self.changes[-1]
+                detail = (
+                    f"base revision {cmd.base_revision!r} is not the current "
+                    f"{self.settings_revision!r}, made by {newest.author!r} "
+                    f"with change {newest.change_id!r}"
+                )
             outcome = Outcome("conflict", self.settings_revision, detail)
         else:
             self.settings = cmd.text
--- a/packages/snipebay-control/tests/test_control_core.py
+++ b/packages/snipebay-control/tests/test_control_core.py
@@ -225,6 +225,14 @@
                     if outcome.code == "conflict":
                         self.assertRegex(outcome.detail, "race-[12]")
 
+    def test_change_with_a_base_before_the_first_settings_is_a_conflict(self):
+        rig = ControlRig(7)
+        rig.elect()
+        outcome = rig.call(settings_change(1, 5))
+        self.assertEqual(outcome.code, "conflict")
+        self.assertIn("nothing is set yet", outcome.detail)
+        self.assertEqual(rig.call(settings_change(2, 0)).code, "ok")
+
     def test_retry_after_a_lost_reply_returns_the_first_outcome(self):
         rig = ControlRig(8)
         rig.elect()
