Keep the sums of connections and first retries at hundreds of instances

Cause: each instance had at least one connection to each backend server and half a retry to begin with, so 440 instances had 440 connections to one that accepts 390, and 880 retries for 4,840 requests where ratio and slack permit 746. Change: with fewer connections than instances, those that rank first have one each; the first credit for retries is a part of the slack, however small. Open: while two instances have different views, a part may be larger by the reciprocal of their number.

--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -62,7 +62,7 @@
         self._ejected_until_s = -math.inf
         self._evacuated = frozenset()
         self._entries = ()
-        self._cold_owners = {}
+        self._ranked_entries = {}
         self.affinity = {}
         self.rate_shares = {}
         self.tiers = AffinityTiers(domain)
@@ -81,7 +81,7 @@
         self._by_service = by_service
         self._evacuated = frozenset(view.evacuated)
         self._entries = tuple(r.entry_id for r in view.entries if not r.leaving)
-        self._cold_owners.clear()
+        self._ranked_entries.clear()
         self._update_index()
 
     def _update_index(self):
@@ -192,13 +192,11 @@
             target_s: Target latency; a later response is of less value.
             exclude: Ids of the backend servers not to choose.
             cold_per_s: Rate of requests to a cold backend server from all instances.
-            connections: Limit on connections to a backend server from all instances,
-                which get equal parts of it.
+            connections: Limit on connections to a backend server from all instances.
             avoid_domains: Failure domains to use only if there is no other.
             is_closed: Function of backend server id, affinity tier and time that
                 returns True while its rate limit permits no request.
         """
-        own_connections = max(1, connections // max(1, len(self._entries)))
         members = self._responsive(service, region, now_s)
         tiers = self.tiers.find(service, members, key, key_count) if key else {}
         expected_s = [times.expected_s(tier) for tier in (PRIMARY, SECONDARY, OTHER)]
@@ -208,7 +206,9 @@
             row = member.row
             load = member.load(now_s)
             tier = tiers.get(row.backend_id, OTHER) if key else PRIMARY
-            if row.backend_id in exclude or member.in_flight >= own_connections:
+            if row.backend_id in exclude:
+                continue
+            if member.in_flight >= self.max_connections(row.backend_id, connections):
                 continue
             if is_closed(row.backend_id, tier, now_s):
                 continue
@@ -301,14 +301,27 @@
             return True
         if cold_per_s <= 0 or now_s < member.next_cold_s:
             return False
-        return self.entry_id in self._owners_of_cold(member.row.backend_id)
-
-    def _owners_of_cold(self, backend_id):
-        """Return the entry instances that may use a cold backend server."""
-        if backend_id not in self._cold_owners:
-            ranked = sorted(self._entries, key=lambda i: rendezvous_rank(i, backend_id))
-            self._cold_owners[backend_id] = ranked[:COLD_OWNERS]
-        return self._cold_owners[backend_id]
+        return self._is_ranked(member.row.backend_id, COLD_OWNERS)
+
+    def max_connections(self, backend_id, limit):
+        """Return this instance's part of the limit on connections to a backend server.
+
+        With more instances than connections, those that rank first get one each.
+
+        Args:
+            backend_id: The backend server.
+            limit: Connections that it accepts from all instances together.
+        """
+        own = limit // max(1, len(self._entries))
+        return own or int(limit > 0 and self._is_ranked(backend_id, limit))
+
+    def _is_ranked(self, backend_id, count):
+        """Return True if this instance ranks among the first for a backend server."""
+        if backend_id not in self._ranked_entries:
+            self._ranked_entries[backend_id] = sorted(
+                self._entries, key=lambda i: rendezvous_rank(i, backend_id)
+            )
+        return self.entry_id in self._ranked_entries[backend_id][:count]
 
     def _updated_member(self, member, row, now_s):
         """Return the member for a row; a new incarnation gets a new member."""
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -273,8 +273,12 @@
     def budget(self, service):
         """Return this instance's part of the retry budget of a service."""
         if service not in self._budgets:
-            ratio = self.cfg.forward.retry_ratio
-            self._budgets[service] = RetryBudget(ratio, self._max_retry_credit())
+            cfg = self.cfg.forward
+            # All instances together start with half of the slack, however many.
+            credit = cfg.retry_slack / (2 * max(1, len(self.view.entries)))
+            self._budgets[service] = RetryBudget(
+                cfg.retry_ratio, self._max_retry_credit(), credit
+            )
         return self._budgets[service]
 
     def owns(self, backend_id):
