--- a/packages/snipebay-cli/src/snipebay_cli/__main__.py
+++ b/packages/snipebay-cli/src/snipebay_cli/__main__.py
@@ -2,10 +2,8 @@
 
 import contextlib
 import getpass
-import io
 import itertools
 import json
-import os
 import pathlib
 import sys
 import time
@@ -20,7 +18,18 @@
 from ruamel.yaml import YAML
 from snipebay_model.settings import parse_settings
 
-from snipebay_cli.client import ApiError, OperatorClient
+from snipebay_cli.client import ApiError
+from snipebay_cli.common import (
+    COMMON,
+    EXIT_FINDINGS,
+    EXIT_MISSING,
+    EXIT_OK,
+    EXIT_USAGE,
+    Common,
+    fail,
+    print_result,
+    read_tree,
+)
 from snipebay_cli.explain import explain_request
 from snipebay_cli.render import (
     diff_lines,
@@ -29,23 +38,14 @@
     render_status,
     render_table,
 )
+from snipebay_cli.settings_edit import with_shift
+from snipebay_cli.waiting import wait_for_status
 
 __all__ = ["main"]
 
-EXIT_OK = 0
-EXIT_FINDINGS = 1
-EXIT_USAGE = 2
-EXIT_CONFLICT = 3
-EXIT_MISSING = 4
-EXIT_UNREACHABLE = 5
-EXIT_REFUSED = 6
-EXIT_CODES = {
-    "invalid": EXIT_FINDINGS,
-    "conflict": EXIT_CONFLICT,
-    "missing": EXIT_MISSING,
-    "unreachable": EXIT_UNREACHABLE,
-}
 WATCH_INTERVAL_S = 1.0
+# Several times the longest time in which a change is in force while control runs.
+WAIT_TIMEOUT_S = 60.0
 HELP = """Controls how snipebay routes traffic, by a tree of settings.
 
 Every command reads the addresses of instances from ``--instances`` or
@@ -53,35 +53,14 @@
 order, and takes ``--json``. The operator token comes from ``SNIPEBAY_TOKEN``.
 
 Exit codes: 0 success, 1 invalid settings, 2 usage error, 3 conflict with another
-change, 4 not found, 5 no instance available, 6 refused.
+change, 4 not found, 5 no instance available, 6 refused, 7 accepted but not seen in
+force in time.
 """
 
 app = cyclopts.App(name="snipebay", help=HELP)
 app.register_install_completion_command()
 
 
-@Parameter(name="*")
-@attrs.frozen
-class Common:
-    """Options of every command.
-
-    Attributes:
-        instances: Addresses of entry instances, separated by commas.
-        json: Print JSON.
-    """
-
-    instances: str = os.environ.get("SNIPEBAY_INSTANCES", "127.0.0.1:8080")
-    json: Annotated[bool, Parameter(negative=())] = False
-
-    @property
-    def client(self):
-        addresses = tuple(self.instances.split(","))
-        return OperatorClient(addresses, os.environ.get("SNIPEBAY_TOKEN", ""))
-
-
-COMMON = Common()
-
-
 @app.command
 def check(file: pathlib.Path, *, common: Common = COMMON):
     """Check a settings tree without sending it anywhere.
@@ -90,12 +69,12 @@
         file: Settings tree in YAML.
         common: Options of every command.
     """
-    result = _read_tree(file)
+    result = read_tree(file)
     if isinstance(result, Success):
-        _print(common, {"findings": []}, f"{file}: good")
+        print_result(common, {"findings": []}, f"{file}: good")
         return EXIT_OK
     rows = result.failure().rows
-    _print(
+    print_result(
         common,
         {"findings": [attrs.asdict(row) for row in rows]},
         "\n".join(map(str, rows)),
@@ -112,6 +91,7 @@
     note: str = "",
     dry_run: Annotated[bool, Parameter(negative=())] = False,
     wait: bool = True,
+    timeout: float = WAIT_TIMEOUT_S,
     common: Common = COMMON,
 ):
     """Apply a settings tree, and wait until it is in force everywhere.
@@ -126,11 +106,18 @@
         note: Reason for the change.
         dry_run: Only check the tree and show the diff.
         wait: Wait until the change is in force everywhere.
+        timeout: Longest wait, in seconds.
         common: Options of every command.
     """
-    if isinstance(_read_tree(file), Success):
+    if isinstance(read_tree(file), Success):
         return _apply_text(
-            common, file.read_text(), base, change_id, note, dry_run, wait
+            common,
+            file.read_text(),
+            base,
+            change_id,
+            note,
+            dry_run,
+            timeout if wait else None,
         )
     return check(file, common=common)
 
@@ -145,7 +132,7 @@
     """
     result = common.client.current()
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
+        return fail(common, result.failure())
     change = result.unwrap()
     if not path and not common.json:
         print(f"# settings revision {change.revision}\n{change.text}", end="")
@@ -153,10 +140,10 @@
     part = YAML(typ="safe").load(change.text)
     for key in path.split(".") if path else ():
         if not isinstance(part, dict) or key not in part:
-            return _fail(common, _missing_error(f"no {path!r} in the settings"))
+            return fail(common, _missing_error(f"no {path!r} in the settings"))
         part = part[key]
     document = {"revision": change.revision, "value": part}
-    _print(common, document, json.dumps(part, indent=2))
+    print_result(common, document, json.dumps(part, indent=2))
     return EXIT_OK
 
 
@@ -174,13 +161,13 @@
         return _explain_request(common, service, logs)
     result = common.client.current()
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
+        return fail(common, result.failure())
     tree = parse_settings(result.unwrap().text).unwrap()
     if service not in tree.services:
-        return _fail(common, _missing_error(f"unknown service {service!r}"))
+        return fail(common, _missing_error(f"unknown service {service!r}"))
     routing = common.client.explain(service).value_or(None)
     rules = {k: attrs.asdict(v) for k, v in tree.explain(service).items()}
-    _print(
+    print_result(
         common,
         {"rules": rules, "routing": routing},
         render_explain(service, tree, routing),
@@ -197,13 +184,13 @@
     """
     result = common.client.history()
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
+        return fail(common, result.failure())
     changes = result.unwrap()
     table = render_table(
         ["REVISION", "CHANGE", "AUTHOR", "NOTE"],
         [(c.revision, c.change_id, c.author, c.note) for c in changes],
     )
-    _print(common, msgspec.to_builtins(changes), table)
+    print_result(common, msgspec.to_builtins(changes), table)
     return EXIT_OK
 
 
@@ -228,20 +215,31 @@
 
 
 @app.command
-def drain(backend: str, *, wait: bool = True, common: Common = COMMON):
+def drain(
+    backend: str,
+    *,
+    wait: bool = True,
+    timeout: float = WAIT_TIMEOUT_S,
+    common: Common = COMMON,
+):
     """Drain a backend server: send it no new requests, and wait for open ones.
 
     Args:
         backend: Id of the backend server.
         wait: Wait until it is drained.
+        timeout: Longest wait, in seconds.
         common: Options of every command.
     """
     result = common.client.set_held(backend, True, uuid.uuid4().hex)
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
+        return fail(common, result.failure())
     if wait:
-        _wait_for_status(common, lambda s: backend in s.drained)
-    _print(common, result.unwrap(), f"{backend}: {'drained' if wait else 'draining'}")
+        waited = wait_for_status(common.client, lambda s: backend in s.drained, timeout)
+        if not isinstance(waited, Success):
+            return fail(common, waited.failure())
+    print_result(
+        common, result.unwrap(), f"{backend}: {'drained' if wait else 'draining'}"
+    )
     return EXIT_OK
 
 
@@ -255,8 +253,8 @@
     """
     result = common.client.set_held(backend, False, uuid.uuid4().hex)
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
-    _print(common, result.unwrap(), f"{backend}: serving")
+        return fail(common, result.failure())
+    print_result(common, result.unwrap(), f"{backend}: serving")
     return EXIT_OK
 
 
@@ -272,14 +270,14 @@
     """
     found = common.client.status()
     if not isinstance(found, Success):
-        return _fail(common, found.failure())
+        return fail(common, found.failure())
     rows = [e.row for e in found.unwrap().entries if e.row.entry_id == entry]
     if not rows:
-        return _fail(common, _missing_error(f"no entry instance {entry!r}"))
+        return fail(common, _missing_error(f"no entry instance {entry!r}"))
     result = common.client.remove_entry(entry, rows[0].incarnation)
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
-    _print(common, result.unwrap(), f"{entry}: forgotten")
+        return fail(common, result.failure())
+    print_result(common, result.unwrap(), f"{entry}: forgotten")
     return EXIT_OK
 
 
@@ -305,10 +303,10 @@
     """
     result = common.client.current()
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
+        return fail(common, result.failure())
     current = result.unwrap()
-    text = _with_shift(current.text, service, source, target, share)
-    return _apply_text(common, text, current.revision, "", note, False, True)
+    text = with_shift(current.text, service, source, target, share)
+    return _apply_text(common, text, current.revision, "", note, False, WAIT_TIMEOUT_S)
 
 
 @app.command
@@ -344,29 +342,20 @@
     if found.skipped:
         lines.append(f"{found.skipped} lines could not be read")
     text = "\n".join([*lines, f"{found.request}: {found.cause}"])
-    _print(common, attrs.asdict(found), text)
+    print_result(common, attrs.asdict(found), text)
     return EXIT_OK
 
 
-def _read_tree(file):
-    """Return the result of parsing a settings file; exit when it can't be read."""
-    try:
-        return parse_settings(file.read_text(), str(file))
-    except (OSError, UnicodeDecodeError) as exc:
-        print(f"{file}: {exc}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-
-
-def _apply_text(common, text, base, change_id, note, dry_run, wait):
-    """Apply a settings text and return the exit code."""
+def _apply_text(common, text, base, change_id, note, dry_run, timeout_s):
+    """Apply a settings text, wait unless the timeout is None; return the exit code."""
     found = common.client.settings()
     if not isinstance(found, Success):
-        return _fail(common, found.failure())
+        return fail(common, found.failure())
     changes = found.unwrap()
     current = changes[0].revision if changes else 0
     diff = diff_lines(changes[0].text if changes else "", text)
     if dry_run:
-        _print(common, {"diff": diff, "base": current}, diff or "no change")
+        print_result(common, {"diff": diff, "base": current}, diff or "no change")
         return EXIT_OK
     change_id = change_id or uuid.uuid4().hex
     base = current if base is None else base
@@ -374,55 +363,28 @@
     if not isinstance(result, Success):
         if not common.json:
             print(f"change id {change_id}", file=sys.stderr)
-        return _fail(common, result.failure())
+        return fail(common, result.failure())
     outcome = result.unwrap() | {"change_id": change_id}
     line = f"revision {outcome['revision']} accepted"
-    if wait:
-        start_s = time.monotonic()
-        _wait_for_status(common, lambda s: s.in_force >= outcome["revision"])
-        outcome["in_force_s"] = round(time.monotonic() - start_s, 3)
+    if timeout_s is not None:
+        waited = wait_for_status(
+            common.client, lambda s: s.in_force >= outcome["revision"], timeout_s
+        )
+        if not isinstance(waited, Success):
+            print(line, file=sys.stderr)
+            return fail(common, waited.failure())
+        outcome["in_force_s"] = waited.unwrap()
         line += f", in force everywhere after {outcome['in_force_s']} s"
-    _print(common, outcome, f"{diff}\n{line}" if diff else line)
+    print_result(common, outcome, f"{diff}\n{line}" if diff else line)
     return EXIT_OK
 
 
-def _with_shift(text, service, source, target, share):
-    """Return a settings text with one shift set, or removed if the share is 0."""
-    yaml = YAML()
-    # Keeps the operator's lines unchanged, so that the diff is short.
-    yaml.width = 4_096
-    yaml.indent(mapping=2, sequence=4, offset=2)
-    tree = yaml.load(text)
-    shifts = [
-        row
-        for row in tree.get("shifts") or []
-        if (row["service"], row["source"], row["target"]) != (service, source, target)
-    ]
-    if share:
-        shifts.append(
-            {"service": service, "source": source, "target": target, "share": share}
-        )
-    tree["shifts"] = shifts
-    stream = io.StringIO()
-    yaml.dump(tree, stream)
-    return stream.getvalue()
-
-
-def _wait_for_status(common, condition):
-    """Wait until the status meets a condition."""
-    while True:
-        found = common.client.status()
-        if isinstance(found, Success) and condition(found.unwrap()):
-            return
-        time.sleep(0.1)
-
-
 def _show_status(common, render):
     result = common.client.status()
     if not isinstance(result, Success):
-        return _fail(common, result.failure())
+        return fail(common, result.failure())
     found = result.unwrap()
-    _print(common, msgspec.to_builtins(found), render(found))
+    print_result(common, msgspec.to_builtins(found), render(found))
     return EXIT_OK
 
 
@@ -430,19 +392,6 @@
     return ApiError("missing", detail)
 
 
-def _print(common, document, text):
-    print(json.dumps(document) if common.json else text)
-
-
-def _fail(common, error):
-    """Print an error and return its exit code."""
-    if common.json:
-        print(json.dumps(attrs.asdict(error)))
-    else:
-        print(f"{error.code}: {error.detail}", file=sys.stderr)
-    return EXIT_CODES.get(error.code, EXIT_REFUSED)
-
-
 def main():
     """Run the command-line interface."""
     sys.exit(app())
--- a/packages/snipebay-node/tests/test_api.py
+++ b/packages/snipebay-node/tests/test_api.py
@@ -5,8 +5,10 @@
 from unittest import mock
 
 from returns.result import Success
-from snipebay_cli.__main__ import EXIT_MISSING, _with_shift, app
+from snipebay_cli.__main__ import app
 from snipebay_cli.client import OperatorClient
+from snipebay_cli.common import EXIT_MISSING
+from snipebay_cli.settings_edit import with_shift
 from snipebay_model.messages import CommandReply, CommandRequest, Outcome, RenewReply
 from snipebay_model.settings import parse_settings
 from snipebay_model.view import EntryRow, ViewDelta
@@ -134,13 +136,13 @@
 
 class TestShiftCommand(unittest.TestCase):
     def test_shift_is_added_changed_and_removed(self):
-        added = _with_shift(SETTINGS, "s", "a", "b", 0.2)
+        added = with_shift(SETTINGS, "s", "a", "b", 0.2)
         self.assertIn("# kept", added)
         self.assertEqual(parse_settings(added).unwrap().shifts[0].share, 0.2)
-        changed = _with_shift(added, "s", "a", "b", 0.1)
+        changed = with_shift(added, "s", "a", "b", 0.1)
         found = [shift.share for shift in parse_settings(changed).unwrap().shifts]
         self.assertEqual(found, [0.1])
-        removed = _with_shift(changed, "s", "a", "b", 0)
+        removed = with_shift(changed, "s", "a", "b", 0)
         self.assertEqual(parse_settings(removed).unwrap().shifts, ())
 
 
