Drop a message of nested arrays, and handle no message twice

What would be seen: a frame of deeply nested arrays raised RecursionError in the decoder, past the handler of malformed frames. The frame stayed in the buffer and was decoded again with each later frame, so the connection was dead and its buffer grew. Any unexpected error in a core did the same: the message was handled again and again. Change: RecursionError is an error of the codec; a frame is removed before its message is handled.

--- a/packages/snipebay-model/src/snipebay_model/codec.py
+++ b/packages/snipebay-model/src/snipebay_model/codec.py
@@ -54,7 +54,7 @@
         )
     try:
         version, sender, kind, raw = _frame_decoder.decode(frame)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise CodecError(f"malformed frame: {exc}") from exc
     if version != PROTOCOL_VERSION:
         raise CodecError(
@@ -79,5 +79,5 @@
         raise CodecError(f"unknown message kind {kind!r}")
     try:
         return decoder.decode(data)
-    except (msgspec.MsgspecError, TypeError, ValueError) as exc:
+    except (msgspec.MsgspecError, TypeError, ValueError, RecursionError) as exc:
         raise CodecError(f"bad {kind} message: {exc}") from exc
--- a/packages/snipebay-node/src/snipebay_node/frames.py
+++ b/packages/snipebay-node/src/snipebay_node/frames.py
@@ -182,23 +182,25 @@
     def _on_data(self, data):
         self._buffer += data
         start, end = 0, len(self._buffer)
-        while end - start >= _LENGTH.size and self.stream.is_open:
-            (word,) = _LENGTH.unpack_from(self._buffer, start)
-            size, is_compressed = word & ~COMPRESSED, word & COMPRESSED
-            if size > FRAME_LIMIT_BYTES:
-                self._abort(f"a frame of {size!r} bytes is too long")
-                return
-            if end - start < _LENGTH.size + size:
-                break
-            start += _LENGTH.size
-            frame = bytes(self._buffer[start : start + size])
-            try:
+        try:
+            while end - start >= _LENGTH.size and self.stream.is_open:
+                (word,) = _LENGTH.unpack_from(self._buffer, start)
+                size, is_compressed = word & ~COMPRESSED, word & COMPRESSED
+                if size > FRAME_LIMIT_BYTES:
+                    self._abort(f"a frame of {size!r} bytes is too long")
+                    return
+                if end - start < _LENGTH.size + size:
+                    break
+                first = start + _LENGTH.size
+                # A frame whose handling fails must not be handled again.
+                start = first + size
+                frame = bytes(self._buffer[first:start])
                 self.bus.deliver(self._decompress(frame) if is_compressed else frame)
-            except CompressionError as exc:
-                self._abort(str(exc))
-                return
-            start += size
-        del self._buffer[:start]
+        except CompressionError as exc:
+            self._abort(str(exc))
+            return
+        finally:
+            del self._buffer[:start]
         self.stream.write(ACK)
 
     def _decompress(self, frame):
