Let an instance's part of a link follow the number of instances

Cause: the meter of a link kept the part that it had at its first use, so with four instances started one after the other the sum was twice the limit (1 + 1/2 + 1/3 + 1/4).

--- a/packages/snipebay-policy/src/snipebay_policy/context.py
+++ b/packages/snipebay-policy/src/snipebay_policy/context.py
@@ -174,10 +174,9 @@
 
     def link(self, target):
         """Return the meter of this instance's part of the link limit to a region."""
-        if target not in self._links:
-            limit = (
-                self.settings.link(self.region, target).limit_mbit_s * BYTES_PER_MBIT
-            )
-            instance_count = sum(row.region == self.region for row in self.view.entries)
-            self._links[target] = LinkMeter(limit / max(1, instance_count))
-        return self._links[target]
+        limit = self.settings.link(self.region, target).limit_mbit_s * BYTES_PER_MBIT
+        instance_count = sum(row.region == self.region for row in self.view.entries)
+        part = limit / max(1, instance_count)
+        meter = self._links.setdefault(target, LinkMeter(part))
+        meter.bytes_per_s = part
+        return meter
