Ignore a heartbeat that arrives after a newer one

What could happen: a late heartbeat made a peer seem to hold the older view again, so an instance without a lease used slots that the peer's newer view gives to another one. Cause: only an exact duplicate was ignored. Test: one in TestLeaseState, which failed before.

--- a/packages/snipebay-policy/src/snipebay_policy/lease_state.py
+++ b/packages/snipebay-policy/src/snipebay_policy/lease_state.py
@@ -43,18 +43,17 @@
         self.lease_until_s = max(self.lease_until_s, (sent_ms + lease_ms) / 1_000)
 
     def record_heartbeat(self, heartbeat):
-        """Store a peer's heartbeat unless it is a duplicate of the last one."""
+        """Store a peer's heartbeat unless a newer one has arrived before it."""
         known = self.peers.get(heartbeat.entry_id)
-        if known is None or (heartbeat.sent_ms, heartbeat.incarnation) != (
-            known.sent_ms,
-            known.incarnation,
-        ):
-            self.peers[heartbeat.entry_id] = _PeerHeartbeat(
-                heartbeat.incarnation,
-                heartbeat.revision,
-                heartbeat.sent_ms,
-                heartbeat.echo_ms,
-            )
+        is_same_run = known is not None and known.incarnation == heartbeat.incarnation
+        if is_same_run and heartbeat.sent_ms <= known.sent_ms:
+            return
+        self.peers[heartbeat.entry_id] = _PeerHeartbeat(
+            heartbeat.incarnation,
+            heartbeat.revision,
+            heartbeat.sent_ms,
+            heartbeat.echo_ms,
+        )
 
     def echo_for(self, entry_id):
         """Return the clock value in a peer's last heartbeat, to echo it back."""
--- a/packages/snipebay-policy/tests/test_entry_core.py
+++ b/packages/snipebay-policy/tests/test_entry_core.py
@@ -193,6 +193,28 @@
         self.core.receive("e2", heartbeat, self.now_s)
         self.assertFalse(self.core.ctx.may_serve(self.now_s))
 
+    def test_older_heartbeat_that_comes_late_is_ignored(self):
+        self.entries.append(entry_row("e2"))
+        self.renew()
+        self.advance(4.0, renew=False)
+        now_ms = int(self.now_s * 1_000)
+        older = PeerBeat("e2", "run", self.revision, 5, now_ms)
+        newer = attrs.evolve(older, revision=self.revision + 1, sent_ms=6)
+        for heartbeat in (newer, older):
+            self.core.receive("e2", heartbeat, self.now_s)
+        self.assertFalse(self.core.ctx.may_serve(self.now_s))
+        restarted = PeerBeat("e2", "other run", self.revision, 1, now_ms)
+        self.core.receive("e2", restarted, self.now_s)
+        self.assertTrue(self.core.ctx.may_serve(self.now_s))
+
+
+class TestLinkLimit(EntryCase):
+    def test_part_of_a_link_follows_the_number_of_instances(self):
+        alone = self.core.ctx.link("b").bytes_per_s
+        self.entries += [entry_row("e2"), entry_row("e3"), entry_row("e4")]
+        self.renew()
+        self.assertAlmostEqual(self.core.ctx.link("b").bytes_per_s, alone / 4)
+
 
 class TestAnnouncements(EntryCase):
     def test_unknown_service_and_failure_domain_are_named_in_the_error(self):
