Give the slot of a request that ends early to one that waits

What callers saw: when a caller left, or a late refusal ended a relayed request, the free slot was given away only at the next tick, up to 0.025 s later. Tests: two in TestWaiting, which failed before.

--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -99,7 +99,7 @@
             return
         if row.attempt is not None:
             self.ctx.queue_action(Cancel(row.attempt.attempt_id))
-        self._remove(row)
+        self._remove_and_dispatch(row, now_s)
 
     # --- from backend servers ---------------------------------------------
 
@@ -175,8 +175,7 @@
         """Remove a request whose relayed response has ended."""
         row = self.queue.rows_by_attempt.get(attempt_id)
         if row is not None:
-            self._remove(row)
-            self.queue.dispatch_waiting(row.service, now_s)
+            self._remove_and_dispatch(row, now_s)
 
     def on_rejection(
         self, attempt_id, reason, now_s, *, is_misdirected=False, retry_after_s=None
@@ -197,7 +196,7 @@
         if is_misdirected:
             self.ctx.fleet.mark_stale(row.attempt.member)
         if row.is_relayed:
-            self._remove(row)
+            self._remove_and_dispatch(row, now_s)
             return
         row.attempt.is_written = False
         self._on_attempt_failed(row, now_s, "rejected", reason, retry_after_s)
@@ -211,8 +210,7 @@
         if row.is_relayed:
             # The adapter has closed the caller's connection in mid-response, so that
             # the caller sees that the response is incomplete.
-            self._remove(row)
-            self.queue.dispatch_waiting(row.service, now_s)
+            self._remove_and_dispatch(row, now_s)
             return
         if not row.attempt.is_hop:
             row.avoid_domains.add(row.attempt.member.row.domain)
@@ -277,19 +275,9 @@
             return
         self.ctx.on_reach_changed(now_s)
         if self.ctx.reach.is_isolated:
-            for row in [r for r in self.rows.values() if self._may_hop(r)]:
+            for row in [r for r in self.rows.values() if r.may_hop]:
                 self._retry_elsewhere(row, now_s)
 
-    def _may_hop(self, row):
-        """Return True for a request that may be repeated through an instance."""
-        attempt = row.attempt
-        return (
-            attempt is not None
-            and not attempt.is_hop
-            and row.route.idempotent
-            and not row.is_relayed
-        )
-
     def _is_stalled(self, row, now_s):
         """Return True when a retry is better than a further wait for the response."""
         attempt = row.attempt
@@ -396,6 +384,11 @@
             self.queue.rows_by_attempt.pop(attempt.attempt_id, None)
             self.ctx.fleet.end_request(attempt.member)
 
+    def _remove_and_dispatch(self, row, now_s):
+        """Remove a request and give its slot to one that waits."""
+        self._remove(row)
+        self.queue.dispatch_waiting(row.service, now_s)
+
     def _remove(self, row):
         self.queue.remove(row)
         self._end_attempt(row)
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -95,3 +95,13 @@
     needs_permit: bool = False
     has_hopped: bool = False
     hop_count: int = 0
+
+    @property
+    def may_hop(self):
+        """True for a running request that may be repeated through an instance."""
+        return (
+            self.attempt is not None
+            and not self.attempt.is_hop
+            and self.route.idempotent
+            and not self.is_relayed
+        )
--- a/packages/snipebay-policy/tests/test_forward.py
+++ b/packages/snipebay-policy/tests/test_forward.py
@@ -180,6 +180,20 @@
         self.core.forward.on_response_end(first.attempt_id, self.now_s)
         self.assertEqual([a.request_id for a in self.actions(Dispatch)], [3])
 
+    def test_slot_of_a_caller_that_left_goes_to_a_waiting_request_at_once(self):
+        self.fill()
+        self.arrive(3)
+        self.core.forward.on_caller_disconnect(1, self.now_s)
+        self.assertEqual([a.request_id for a in self.actions(Dispatch)], [3])
+
+    def test_slot_of_a_late_refusal_goes_to_a_waiting_request_at_once(self):
+        first = self.send(1, "/u/x")
+        self.send(2)
+        self.core.forward.on_caller_disconnect(1, self.now_s)
+        self.arrive(3)
+        self.core.forward.on_rejection(first.attempt_id, "full", self.now_s)
+        self.assertEqual([a.request_id for a in self.actions(Dispatch)], [3])
+
     def test_refused_early_with_a_retry_delay(self):
         self.fill()
         self.arrive(3)
