Answer requests that cross a planned stop

What callers would see: at SIGTERM all idle kept connections were closed at once. A request that a caller had just sent, still unread in the socket's buffer or on its way, got a reset without an answer; the busier the process, the more of them. Change: idle connections are closed 0.5 s later; a request that arrives before is answered with Connection: close. Connections accepted during the stop keep their usual time.

--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -14,12 +14,15 @@
 
 from snipebay_node.exchange import PROBLEM_TYPE, Exchange, problem_body
 
-__all__ = ["HttpServer"]
+__all__ = ["STOP_IDLE_DELAY_S", "HttpServer"]
 
 BODY_TIMEOUT_S = 30.0
 PIPELINE_LIMIT_BYTES = 64 * 1024
 # Limit on the requests of one connection that are handled concurrently.
 MAX_PIPELINED_REQUESTS = 16
+# Idle connections are closed this long after a planned stop begins: callers may just
+# have sent a request that is not read yet, over a round trip between regions.
+STOP_IDLE_DELAY_S = 0.5
 DEFAULT_LIMITS = RequestLimits(head_bytes=HEAD_LIMIT_BYTES)
 
 
@@ -58,10 +61,12 @@
                 connection.time_out()
 
     def stop(self):
-        """Close idle connections; the others close after their last response."""
+        """Let each connection close after its last response, idle ones soon."""
+        if self.is_stopping:
+            return
         self.is_stopping = True
-        for connection in list(self.connections):
-            connection.close_if_idle()
+        for connection in self.connections:
+            connection.close_soon_if_idle()
 
 
 class _Connection:
@@ -257,16 +262,22 @@
         self._is_input_ended = True
         self.stream.close()
 
+    @property
+    def _is_idle(self):
+        is_receiving = self._receiving is not None or not self._is_input_empty
+        return not self._pipeline and not is_receiving
+
     def time_out(self):
         """Close the connection after a timeout, with status 408 if not idle."""
-        if self._receiving is None and self._is_input_empty and not self._pipeline:
+        if self._is_idle:
             self._close()
         else:
             self._reject(408, "the request took too long to arrive")
 
-    def close_if_idle(self):
-        if self._receiving is None and not self._pipeline and self._is_input_empty:
-            self._close()
+    def close_soon_if_idle(self):
+        """Shorten the idle timeout; a request that arrives before it is handled."""
+        if self._is_idle:
+            self._set_deadline(STOP_IDLE_DELAY_S)
 
     def _reject(self, status, detail):
         """Respond to the current request with an error and close."""
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -24,7 +24,7 @@
 from snipebay_node.api import Api
 from snipebay_node.bus import Bus
 from snipebay_node.change_log import ChangeLog
-from snipebay_node.http_server import HttpServer
+from snipebay_node.http_server import STOP_IDLE_DELAY_S, HttpServer
 from snipebay_node.metrics import NodeMetrics
 from snipebay_node.metrics_server import MetricsServer
 from snipebay_node.proxy import Proxy
@@ -253,7 +253,10 @@
         lookups_expired = elapsed_s >= self.lookup_expiry_s
         if lookups_expired:
             self.http.stop()
-        is_complete = lookups_expired and self.proxy.is_idle and self.entry.is_idle
+        # Idle connections of callers are closed a moment after the stop of the server.
+        delay_s = STOP_IDLE_DELAY_S if self.lookup_expiry_s else 0.0
+        are_closed = elapsed_s >= self.lookup_expiry_s + delay_s
+        is_complete = are_closed and self.proxy.is_idle and self.entry.is_idle
         if is_complete or elapsed_s >= self.settings.stop_timeout_s:
             log.info("stopped", whole=is_complete, seconds=round(elapsed_s, 2))
             self.hub.stop_listening()
