--- a/packages/snipebay-control/tests/test_discovery.py
+++ b/packages/snipebay-control/tests/test_discovery.py
@@ -292,6 +292,27 @@
         self.assertNotIn("i-1", self.backends)
         self.assertEqual(self.put(born_ms=300), "ok")
 
+    def test_server_and_route_that_left_stay_away_after_all_restart(self):
+        self.put(backend_id="kept", address="10.0.0.2:80")
+        self.put()
+        self.group.call(RemoveBackend("i-1", WITHDRAWN))
+        without_routes = attrs.evolve(plan(2), routes=())
+        self.group.call(ApplyPlan("d2", 1, without_routes))
+        for host in self.group.hosts.values():
+            host.kill()
+        for host in self.group.hosts.values():
+            host.start()
+        self.group.elect()
+        for sequence in (2, 9):
+            self.assertEqual(self.put(sequence=sequence), "stale")
+        self.assertEqual(set(self.backends), {"kept"})
+        state = self.group.leader.core.state
+        self.assertEqual(state.plan.routes, ())
+        # An entry instance that starts gets what control has, and keeps nothing.
+        found = state.delta(0)
+        self.assertEqual([row.backend_id for row in found.backends], ["kept"])
+        self.assertEqual(found.plan.routes, ())
+
     def test_address_goes_to_the_newest_incarnation(self):
         self.put(backend_id="old")
         self.put(backend_id="new", born_ms=200)
