Pack a long change of the view once for all instances

Ruled out: the links (2 Mbit/s carry the compressed plan in 0.1 s), lost pushes. Change: a delta over 16 KiB is encoded and compressed once (packed_delta.py); a message that carries it is not compressed again. Older builds get it as before.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -359,6 +359,7 @@
     def _renew_reply(
         self, region, base, *, granted, sent_ms=0, reads_plan_patches=False
     ):
+        packed = self.state.packed_delta(base) if reads_plan_patches else b""
         return RenewReply(
             leader=self.leader_id,
             granted=granted,
@@ -366,7 +367,12 @@
             lease_ms=int(self.cfg.leases.entry_lease_s * 1_000),
             settled_floor=self._settled(region),
             quorum_revision=self.state.revision,
-            delta=self.state.delta(base, reads_plan_patches=reads_plan_patches),
+            delta=(
+                None
+                if packed
+                else self.state.delta(base, reads_plan_patches=reads_plan_patches)
+            ),
+            packed_delta=packed,
             drained=self._drained,
             controls=self.controls,
             demand=self._demand,
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -8,6 +8,7 @@
 from snipebay_model import messages
 from snipebay_model.codec import decode_body
 from snipebay_model.messages import Outcome
+from snipebay_model.packed_delta import pack_delta
 from snipebay_model.plan import Plan, PlanReading
 from snipebay_model.status import ChangeStatus
 from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
@@ -87,6 +88,7 @@
         self._change_outcomes = collections.OrderedDict()
         self._journal = collections.deque(maxlen=MAX_JOURNAL_ROWS)
         self._deltas = {}
+        self._packed_deltas = {}
         self._plan_history = PlanHistory()
         self._handlers = {
             messages.ApplySettings: self._apply_settings,
@@ -177,6 +179,19 @@
             self._deltas[key] = self._compute_delta(base, reads_plan_patches)
         return self._deltas[key]
 
+    def packed_delta(self, base):
+        """Return the same for a receiver of patches as packed bytes, made only once.
+
+        Returns:
+            Empty if there is no change, or a short one.
+        """
+        found = self.delta(base, reads_plan_patches=True)
+        if found is None:
+            return b""
+        if base not in self._packed_deltas:
+            self._packed_deltas[base] = pack_delta(found)
+        return self._packed_deltas[base]
+
     def _compute_delta(self, base, reads_plan_patches):
         first = self._journal[0][0] if self._journal else self.revision + 1
         if base < first - 1:
@@ -237,6 +252,7 @@
         self.revision += 1
         self._journal.append((self.revision, table, row_id))
         self._deltas.clear()
+        self._packed_deltas.clear()
         if table in OPERATOR_TABLES:
             self.urgent_revision = self.revision
         return self.revision
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -314,8 +314,8 @@
         is_isolated: True while the sender reaches no backend server.
         key_sketches: Rows of service, region and the bits of the affinity keys that
             the sender lately sent there, see :mod:`snipebay_model.key_sketch`.
-        reads_plan_patches: True if the sender can apply patches of the plan. An older
-            build can't, and would miss a change.
+        reads_plan_patches: True if the sender can apply patches of the plan and packed
+            deltas. An older build can't, and would miss a change.
     """
 
     row: EntryRow
@@ -356,6 +356,8 @@
         rate_limits: Rate limits in force, or None when the receiver has this version.
         rate_limits_version: Term of the leader and number of its last change.
         isolated: Ids of the entry instances that reach no backend server.
+        packed_delta: A long delta in place of ``delta``, see
+            :mod:`snipebay_model.packed_delta`.
         key_counts: Rows of service, region and the number of affinity keys that all
             instances send there; empty while too few have reported.
     """
@@ -375,3 +377,4 @@
     rate_limits_version: tuple[int, int] = (0, 0)
     isolated: tuple[str, ...] = ()
     key_counts: tuple[tuple[str, str, int], ...] = ()
+    packed_delta: bytes = b""
--- a/packages/snipebay-node/src/snipebay_node/frames.py
+++ b/packages/snipebay-node/src/snipebay_node/frames.py
@@ -4,6 +4,7 @@
 
 import structlog
 from snipebay_model.codec import CodecError, Envelope, decode, encode
+from snipebay_model.messages import RenewReply
 from snipebay_model.units import FRAME_LIMIT_BYTES
 
 from snipebay_node.frame_compression import (
@@ -58,7 +59,9 @@
         connection = self._connections.get(address)
         if connection is None:
             connection = self._connections[address] = _OutgoingConnection(self, address)
-        connection.send(type(body).__name__, encode(Envelope(sender, body)))
+        is_packed = isinstance(body, RenewReply) and bool(body.packed_delta)
+        frame = encode(Envelope(sender, body))
+        connection.send(type(body).__name__, frame, is_packed)
 
     def tick(self, now_s):
         """Close connections that are unresponsive or fail to open in time."""
@@ -98,7 +101,7 @@
         self._is_disconnected = False
         self._compressor = None
 
-    def send(self, kind, frame):
+    def send(self, kind, frame, is_packed):
         now_s = self.bus.clock()
         if self._stream is None and now_s >= self._reconnect_at_s:
             self._connect(now_s)
@@ -109,7 +112,7 @@
         if self._unacked_since_s is None:
             self._unacked_since_s = now_s
         mark = 0
-        if self._compressor is not None:
+        if self._compressor is not None and not is_packed:
             frame, mark = self._compressor.compress(frame), COMPRESSED
         self.bus.counters.message_sent(kind, len(frame))
         stream.write(_LENGTH.pack(len(frame) | mark) + frame)
--- a/packages/snipebay-node/tests/test_frames.py
+++ b/packages/snipebay-node/tests/test_frames.py
@@ -5,7 +5,8 @@
 import unittest
 import zlib
 
-from snipebay_model.messages import Hello
+from snipebay_model.codec import Envelope, encode
+from snipebay_model.messages import Hello, RenewReply
 from snipebay_node.frame_compression import (
     CompressionError,
     FrameCompressor,
@@ -202,6 +203,25 @@
         stream.on_data(struct.pack("<I", len(data) | COMPRESSED) + data)
         self.assertFalse(stream.is_open)
 
+    def test_packed_message_is_sent_as_it_is_between_compressed_ones(self):
+        stream = self.open_connection()
+        stream.on_data(ACK)
+        packed = RenewReply("c1", True, packed_delta=bytes(range(256)) * 100)
+        for body in (Hello(True), packed, Hello(False)):
+            stream.sent.clear()
+            self.bus.send("10.0.0.2:1", "me", body)
+            (word,) = struct.unpack_from("<I", stream.sent)
+            self.assertEqual(bool(word & COMPRESSED), body is not packed)
+        incoming = self.accept_connection()
+        compressor = FrameCompressor()
+        for body in (Hello(True), packed, Hello(False)):
+            frame, mark = encode(Envelope("me", body)), 0
+            if body is not packed:
+                frame, mark = compressor.compress(frame), COMPRESSED
+            incoming.on_data(struct.pack("<I", len(frame) | mark) + frame)
+        bodies = [body for _, body in self.received]
+        self.assertEqual(bodies, [Hello(True), packed, Hello(False)])
+
     def test_frame_that_expands_over_the_limit_closes_the_connection(self):
         compressor = FrameCompressor()
         decompressor = FrameDecompressor(1_000)
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -4,8 +4,10 @@
 
 import attrs
 from snipebay_model import messages
+from snipebay_model.codec import CodecError
 from snipebay_model.key_sketch import KeySketch
 from snipebay_model.messages import Renew
+from snipebay_model.packed_delta import unpack_delta
 from snipebay_model.plan import RequestLimits, RoutedService
 from snipebay_model.view import View
 
@@ -381,12 +383,23 @@
             self._demand.setdefault(service, {})[region] = slots
         if msg.key_counts:
             self._key_counts = {(s, region): n for s, region, n in msg.key_counts}
-        if msg.delta is not None and msg.delta.base <= self.view.revision:
-            self._apply_delta(msg.delta, now_s)
+        delta = self._read_delta(msg)
+        if delta is not None and delta.base <= self.view.revision:
+            self._apply_delta(delta, now_s)
         self.hop_table.update_isolated(msg.isolated)
         version = msg.rate_limits_version
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
 
+    def _read_delta(self, msg):
+        """Return the changes in a reply, or None without readable ones."""
+        if not msg.packed_delta:
+            return msg.delta
+        try:
+            return unpack_delta(msg.packed_delta)
+        except CodecError as exc:
+            self.record_event("view change not readable", "view", error=str(exc))
+            return None
+
     def _apply_delta(self, delta, now_s):
         try:
             view = self.view.apply(delta)
