--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -5,15 +5,12 @@
 import attrs
 from snipebay_model import messages
 from snipebay_model.codec import CodecError
-from snipebay_model.key_sketch import KeySketch
 from snipebay_model.messages import Renew
 from snipebay_model.packed_delta import unpack_delta
-from snipebay_model.plan import RequestLimits, RoutedService
+from snipebay_model.plan import RequestLimits
 from snipebay_model.view import View
 
 from snipebay_policy.action_queue import ActionQueue
-from snipebay_policy.affinity import AffinityTable
-from snipebay_policy.budget import RetryBudget
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.forward import ForwardSystem
@@ -21,11 +18,9 @@
 from snipebay_policy.hop_table import HopTable
 from snipebay_policy.rate_limits import RateLimitTable
 from snipebay_policy.reach import ReachMonitor
-from snipebay_policy.region_shares import RegionShares
 from snipebay_policy.renewal_pacing import renewal_interval_s
 from snipebay_policy.routes import RouteTable
-from snipebay_policy.service_times import ServiceTimes
-from snipebay_policy.shares import ShareMeter
+from snipebay_policy.service_tables import ServiceTables
 from snipebay_policy.view_changes import view_changes
 from snipebay_policy.work import Send
 
@@ -33,9 +28,6 @@
 
 # Time constant of the moving averages of needed slots, which instances report.
 NEEDS_WINDOW_S = 2.0
-# Affinity keys are counted for this long after their last request, and up to twice as
-# long.
-KEY_RETENTION_S = 10.0
 # Smallest change of a region's share that is logged.
 LOGGED_SHARE_CHANGE = 0.1
 # A changed rate limit is reported this long before the next renewal is due.
@@ -67,7 +59,7 @@
     forward: ForwardRules = ForwardRules()
 
 
-class RoutedCore(ActionQueue):
+class RoutedCore(ServiceTables, ActionQueue):
     """Entry instance for routed requests, without I/O.
 
     The adapter passes in events, then carries out :meth:`pop_actions`.
@@ -88,8 +80,7 @@
     """
 
     def __init__(self, cfg, controls):
-        super().__init__()
-        self.cfg = cfg
+        super().__init__(cfg)
         self.row = cfg.row
         self.region = cfg.row.region
         self.view = View()
@@ -102,12 +93,6 @@
         self.forward = ForwardSystem(self, cfg.forward)
         self._seeds = tuple(controls)
         self._demand = {}
-        self._shares = {}
-        self._spill_meters = {}
-        self._key_sketches = {}
-        self._key_counts = {}
-        self._times = {}
-        self._budgets = {}
         self._needs = {}
         self._events = []
         self._logged_shares = {}
@@ -223,65 +208,7 @@
         known = (*self.commands.controls, *controls)
         self.commands.controls = tuple(dict.fromkeys(known))
 
-    # --- tables for the systems -------------------------------------------
-
-    def shares(self, service):
-        """Return the :class:`RegionShares` of a service."""
-        if service not in self._shares:
-            self._shares[service] = RegionShares(
-                self.region, self.cfg.max_shift_per_s, self.row.entry_id
-            )
-        return self._shares[service]
-
-    def region_for(self, service, key, allowed):
-        """Return the region that a request should run in, or None.
-
-        Args:
-            service: Service of the request.
-            key: Affinity key, or empty.
-            allowed: Regions to choose from, empty for all.
-        """
-        shares = self.shares(service)
-        if not key:
-            return shares.next_region(allowed)
-        table = self.fleet.affinity.setdefault(service, AffinityTable())
-        table.record(key)
-        return shares.region_at(table.position(key), allowed)
-
-    def record_key(self, service, region, key, now_s):
-        """Count an affinity key whose requests go to a region."""
-        sketch = self._key_sketches.get((service, region))
-        if sketch is None:
-            sketch = self._key_sketches[service, region] = KeySketch(KEY_RETENTION_S)
-        sketch.record(key, now_s)
-
-    def key_count(self, service, region):
-        """Return the number of affinity keys that all instances send to a region."""
-        own_count = len(self.fleet.affinity.get(service, ()))
-        return max(own_count, self._key_counts.get((service, region), 0))
-
-    def spill_meter(self, service):
-        """Return the meter of requests that leave the region assigned to them."""
-        if service not in self._spill_meters:
-            self._spill_meters[service] = ShareMeter(self.cfg.max_spill_share)
-        return self._spill_meters[service]
-
-    def times(self, service):
-        """Return the :class:`ServiceTimes` of a service."""
-        if service not in self._times:
-            self._times[service] = ServiceTimes()
-        return self._times[service]
-
-    def budget(self, service):
-        """Return this instance's part of the retry budget of a service."""
-        if service not in self._budgets:
-            cfg = self.cfg.forward
-            # All instances together start with half of the slack, however many.
-            credit = cfg.retry_slack / (2 * max(1, len(self.view.entries)))
-            self._budgets[service] = RetryBudget(
-                cfg.retry_ratio, self._max_retry_credit(), credit
-            )
-        return self._budgets[service]
+    # --- limits of backend servers ----------------------------------------
 
     def owns(self, backend_id):
         """Return True if this instance grants the permits for a backend server."""
@@ -297,21 +224,6 @@
                 found.setdefault(service, []).append(limit)
         return found
 
-    def _max_retry_credit(self):
-        """Return this instance's part of the retries allowed beyond the ratio."""
-        slack = self.cfg.forward.retry_slack
-        return max(1.0, slack / max(1, len(self.view.entries)))
-
-    def service(self, name):
-        """Return a service of the plan, with defaults for an unknown one."""
-        found = self.table.services.get(name) if self.table else None
-        return found or RoutedService(name)
-
-    def count_request(self, service):
-        """Count a request for the retry budget and the spill meter."""
-        self.budget(service).deposit()
-        self.spill_meter(service).count_request({})
-
     # --- control ----------------------------------------------------------
 
     def _renew(self, now_s):
@@ -341,15 +253,11 @@
             rate_limits=self.rate_limits.news(now_s),
             rate_limits_version=self.rate_limits.version,
             is_isolated=self.reach.is_isolated,
-            key_sketches=self._read_key_sketches(now_s),
+            key_sketches=self.read_key_sketches(now_s),
             reads_plan_patches=True,
         )
         self.queue_action(Send(target, report))
 
-    def _read_key_sketches(self, now_s):
-        rows = ((*key, s.read(now_s)) for key, s in sorted(self._key_sketches.items()))
-        return tuple(row for row in rows if row[-1])
-
     def _sample_needs(self, now_s):
         """Update the moving averages of running and waiting requests.
 
@@ -382,7 +290,7 @@
         for service, region, slots in msg.demand:
             self._demand.setdefault(service, {})[region] = slots
         if msg.key_counts:
-            self._key_counts = {(s, region): n for s, region, n in msg.key_counts}
+            self.apply_key_counts(msg.key_counts)
         delta = self._read_delta(msg)
         if delta is not None and delta.base <= self.view.revision:
             self._apply_delta(delta, now_s)
@@ -416,8 +324,7 @@
         for event, subject, fields in view_changes(self.view, view):
             self.record_event(event, subject, **fields)
         self.view = view
-        for budget in self._budgets.values():
-            budget.max_credit = self._max_retry_credit()
+        self.update_budgets()
         self.fleet.apply_view(view, now_s)
         self.hop_table.apply_view(view)
         self.rate_limits.apply_view(view)
