Reach the new leader at once after a loss of power

Causes, by the logs of all instances: an instance asked the control instances in turn, each 0.2 s (its tick had become 0.1 s), so most asked the leader only in a later round; a connection to a machine without power yet hung for 0.8 s before the next attempt. Change: before its first lease an instance asks up to five control instances at once, and ticks fast; control keeps what it could not answer for 1 s, and a new leader answers it at once (waiting_renewals.py); first attempts to connect are short (connect_attempts.py).

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -30,6 +30,7 @@
 from snipebay_control.state import ControlState
 from snipebay_control.telemetry import Telemetry
 from snipebay_control.update_pacing import UpdatePacer
+from snipebay_control.waiting_renewals import WaitingRenewals
 
 __all__ = ["RAFT_MESSAGES", "ControlConfig", "ControlCore"]
 
@@ -114,6 +115,7 @@
         self._proposed_commands = set()
         self.joining = JoinProtocol(cfg, self.raft)
         self._pacer = UpdatePacer()
+        self._waiting_renewals = WaitingRenewals()
         self._pushed_settled = {}
         self._settled_by_region = {}
         self._drained = ()
@@ -174,6 +176,9 @@
         self._advance_clock()
         self.joining.change_members()
         self._push_updates()
+        if self._may_serve:
+            for sender, msg in self._waiting_renewals.pop(now_s):
+                self._on_renew(sender, msg)
 
     def pop_ready(self):
         """Return the pending work, see :class:`snipebay_control.raft.Ready`."""
@@ -311,6 +316,7 @@
 
     def _on_renew(self, sender, msg):
         if not self._may_serve:
+            self._waiting_renewals.record(sender, msg, self._now_s)
             reply = RenewReply(self.leader_id, granted=False, controls=self.controls)
             self._outbox.append((sender, reply))
             return
--- a/packages/snipebay-control/tests/test_control_core.py
+++ b/packages/snipebay-control/tests/test_control_core.py
@@ -4,6 +4,7 @@
 
 import attrs
 from snipebay_control.core import ControlConfig
+from snipebay_control.waiting_renewals import WaitingRenewals
 from snipebay_model.messages import ApplySettings, PutBackend, Renew
 from snipebay_model.view import BackendRow, EntryRow
 from snipebay_testbed.control_rig import ControlRig
@@ -57,6 +58,29 @@
         rig.hosts["c3"].start()
         rig.elect()
 
+    def test_new_leader_answers_what_it_was_asked_before_the_election(self):
+        rig = ControlRig(1, 3)
+        replies = []
+        rig.network.receivers["e1"] = lambda sender, body: replies.append(body)
+        row = EntryRow("e1", "x", "10.0.0.1:80", "e1", "a", "a-1")
+        while not any(host.core.raft.is_leader for host in rig.hosts.values()):
+            asked_s = rig.scheduler.now_s
+            for name in rig.hosts:
+                rig.network.send("e1", name, Renew(row, 0, 0, 0))
+            rig.scheduler.run_for(0.3)
+        self.assertLess(rig.scheduler.now_s, asked_s + 0.4)
+        rig.scheduler.run_for(1.0)
+        self.assertEqual([reply.leader for reply in replies][-1], rig.leader.id)
+        self.assertEqual(sum(reply.lease_ms > 0 for reply in replies), 1)
+
+    def test_old_question_is_not_answered_by_a_new_leader(self):
+        waiting = WaitingRenewals()
+        waiting.record("e1", "old", 0.0)
+        waiting.record("e2", "first", 0.5)
+        waiting.record("e2", "second", 0.9)
+        self.assertEqual(waiting.pop(1.2), [("e2", "second")])
+        self.assertEqual(waiting.pop(1.2), [])
+
     def test_at_most_one_leader_holds_a_lease(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
--- a/packages/snipebay-node/src/snipebay_node/frames.py
+++ b/packages/snipebay-node/src/snipebay_node/frames.py
@@ -6,6 +6,7 @@
 from snipebay_model.codec import CodecError, Envelope, decode, encode
 from snipebay_model.messages import RenewReply
 from snipebay_model.units import FRAME_LIMIT_BYTES
+from snipebay_policy.connect_attempts import ConnectAttempts
 
 from snipebay_node.frame_compression import (
     CompressionError,
@@ -23,8 +24,6 @@
 # A connection with unacknowledged frames is closed after this long without an
 # acknowledgement: several round trips between regions, below an election timeout.
 ACK_TIMEOUT_S = 0.8
-CONNECT_TIMEOUT_S = 0.8
-RECONNECT_DELAY_S = 0.1
 # Messages are dropped while a receiver leaves more than this unread.
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 
@@ -97,13 +96,13 @@
         self._stream = None
         self._connect_started_s = 0.0
         self._unacked_since_s = None
-        self._reconnect_at_s = 0.0
+        self._attempts = ConnectAttempts()
         self._is_disconnected = False
         self._compressor = None
 
     def send(self, kind, frame, is_packed):
         now_s = self.bus.clock()
-        if self._stream is None and now_s >= self._reconnect_at_s:
+        if self._stream is None and now_s >= self._attempts.next_s:
             self._connect(now_s)
         stream = self._stream
         if stream is None or stream.buffered_bytes > MAX_BUFFERED_BYTES:
@@ -122,13 +121,12 @@
         if stream is None:
             return
         if stream.is_connecting:
-            has_timed_out = now_s - self._connect_started_s > CONNECT_TIMEOUT_S
-        else:
-            unacked_since_s = self._unacked_since_s
-            has_timed_out = (
-                unacked_since_s is not None and now_s - unacked_since_s > ACK_TIMEOUT_S
-            )
-        if has_timed_out:
+            if now_s - self._connect_started_s > self._attempts.timeout_s:
+                self._attempts.record_timeout()
+                stream.abort()
+            return
+        unacked_since_s = self._unacked_since_s
+        if unacked_since_s is not None and now_s - unacked_since_s > ACK_TIMEOUT_S:
             stream.abort()
 
     def close(self):
@@ -141,7 +139,7 @@
         stream = self.bus.hub.connect(self.address)
         self._connect_started_s = now_s
         if not stream.is_open:
-            self._reconnect_at_s = now_s + RECONNECT_DELAY_S
+            self._attempts.record_end(now_s)
             return
         self._stream = stream
         self._unacked_since_s = None
@@ -151,6 +149,7 @@
         stream.on_connected = self._on_connected
 
     def _on_connected(self):
+        self._attempts.record_connected()
         if self._is_disconnected:
             self._is_disconnected = False
             log.info("connection regained", peer=self.address)
@@ -169,7 +168,7 @@
             log.warning("connection lost", peer=self.address)
         self._stream = None
         self._unacked_since_s = None
-        self._reconnect_at_s = self.bus.clock() + RECONNECT_DELAY_S
+        self._attempts.record_end(self.bus.clock())
 
 
 class _IncomingConnection:
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -259,7 +259,9 @@
         """True while there is work that the next tick may be able to do."""
         if self.settings.data or self.is_stopping:
             return True
-        return self.entry is None or self.entry.forward.queue.is_waiting
+        if self.entry is None or not self.entry.is_ready:
+            return True
+        return self.entry.forward.queue.is_waiting
 
     def _on_tick(self, now_s):
         if self.control is not None:
--- a/packages/snipebay-node/tests/test_frames.py
+++ b/packages/snipebay-node/tests/test_frames.py
@@ -16,9 +16,9 @@
     ACK,
     ACK_TIMEOUT_S,
     COMPRESSED,
-    CONNECT_TIMEOUT_S,
     FrameBus,
 )
+from snipebay_policy.connect_attempts import LONGEST_ATTEMPT_S
 from snipebay_testbed.fake_stream import FakeHub, FakeStream
 
 
@@ -92,9 +92,31 @@
 
     def test_connect_times_out(self):
         self.send()
-        self.advance(CONNECT_TIMEOUT_S + 0.1)
+        self.advance(LONGEST_ATTEMPT_S + 0.1)
         self.assertFalse(self.hub.streams[0].is_open)
 
+    def test_connect_to_a_peer_without_power_is_tried_again_soon(self):
+        self.send()
+        self.advance(0.3)
+        self.assertFalse(self.hub.streams[0].is_open)
+        self.now_s += 0.15
+        self.send()
+        self.assertEqual(len(self.hub.streams), 2)
+
+    def test_attempts_get_longer_until_one_succeeds(self):
+        for least_s in (0.2, 0.45, 0.75):
+            self.send()
+            self.advance(least_s)
+            self.assertTrue(self.hub.streams[-1].is_open)
+            self.advance(0.1)
+            self.assertFalse(self.hub.streams[-1].is_open)
+            self.now_s += 0.2
+        self.open_connection().abort()
+        self.now_s += 0.2
+        self.send()
+        self.advance(0.3)
+        self.assertFalse(self.hub.streams[-1].is_open)
+
     def test_delay_before_reconnecting(self):
         self.open_connection().abort()
         self.send()
--- a/packages/snipebay-policy/src/snipebay_policy/commands.py
+++ b/packages/snipebay-policy/src/snipebay_policy/commands.py
@@ -91,6 +91,16 @@
             return self.leader
         return self.controls[next(self._round_robin) % len(self.controls)]
 
+    def targets(self, count):
+        """Return the leader's id or, while it is unknown, those of some instances.
+
+        Args:
+            count: Largest number of ids; successive calls return all in turn.
+        """
+        if self.leader:
+            return (self.leader,)
+        return tuple({self.target(): None for _ in range(count)})
+
     def tick(self, now_s):
         """Retry commands without a reply, and abandon those that have timed out."""
         self.now_s = now_s
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -32,6 +32,9 @@
 LOGGED_SHARE_CHANGE = 0.1
 # A changed rate limit is reported this long before the next renewal is due.
 URGENT_RENEW_S = 0.4
+# Control instances that are asked at once before the first lease, so that whichever is
+# elected has been asked and can answer at once.
+STARTUP_TARGETS = 5
 DEFAULT_LIMITS = RequestLimits()
 
 
@@ -42,7 +45,8 @@
     Attributes:
         row: :class:`EntryRow` of this instance in the view.
         renew_interval_s: Shortest interval between two renewals of the lease.
-        startup_renew_interval_s: The same before the first lease is granted.
+        startup_renew_interval_s: The same before the first lease is granted. While
+            no leader is known then, several control instances are asked at once.
         share_update_interval_s: Interval between two updates of the region shares.
         max_shift_per_s: Largest share of requests that changes region per second.
         max_spill_share: Share of requests that may leave the region assigned to
@@ -52,7 +56,7 @@
 
     row: object
     renew_interval_s: float = 0.5
-    startup_renew_interval_s: float = 0.15
+    startup_renew_interval_s: float = 0.2
     share_update_interval_s: float = 0.2
     max_shift_per_s: float = 0.05
     max_spill_share: float = 0.05
@@ -237,7 +241,8 @@
         if now_s - self._confirmed_s > 2 * interval_s:
             self.commands.clear_leader()
         self._may_redirect = True
-        self._send_renew(self.commands.target(), now_s)
+        for target in self.commands.targets(STARTUP_TARGETS if is_starting else 1):
+            self._send_renew(target, now_s)
 
     def _send_renew(self, target, now_s):
         """Send a renewal with this instance's load and needs to a control instance."""
--- a/packages/snipebay-policy/tests/test_view_updates.py
+++ b/packages/snipebay-policy/tests/test_view_updates.py
@@ -69,7 +69,7 @@
 
     def test_a_named_leader_is_asked_at_once(self):
         self.core.tick(0.0)
-        self.assertEqual(len(self.renewals()), 1)
+        self.assertEqual(self.renewals(), ["c1", "c2"])
         self.assertEqual(self.no_quorum("c1", "c9"), ["c9"])
 
     def test_a_leader_that_names_itself_is_not_asked_again_at_once(self):
@@ -87,7 +87,7 @@
         self.core.tick(0.0)
         self.no_quorum("c1", "c2")
         self.core.tick(5.0)
-        self.assertEqual(len(self.renewals()), 1)
+        self.assertEqual(len(self.renewals()), 2)
         self.assertEqual(self.no_quorum("c1", "c2"), ["c2"])
 
 
