Name the right index in findings after an invalid row

Cause: invalid rows were dropped before the rows were counted. Change: valid rows keep their index in the file. Test: test_rows_after_an_invalid_one_keep_their_index, which failed before.

--- a/packages/snipebay-model/src/snipebay_model/settings.py
+++ b/packages/snipebay-model/src/snipebay_model/settings.py
@@ -177,17 +177,20 @@
     for key in root.value:
         if key not in SECTIONS:
             findings.add_unknown_key(root.key_nodes[key], (), key, SECTIONS)
+    links = _read_list(root, "links", Link, findings)
+    blocks = _read_list(root, "blocks", Block, findings)
+    shifts = _read_list(root, "shifts", Shift, findings)
     settings = Settings(
         regions=_read_mapping(root, "regions", findings, _read_region),
-        links=_read_list(root, "links", Link, findings),
-        blocks=_read_list(root, "blocks", Block, findings),
+        links=tuple(links.values()),
+        blocks=tuple(blocks.values()),
         branches=_read_mapping(root, "branches", findings, _read_branch),
         services=_read_mapping(root, "services", findings, _read_branch),
-        shifts=_read_list(root, "shifts", Shift, findings),
+        shifts=tuple(shifts.values()),
     )
-    _check_topology(settings, root, findings)
+    _check_topology(settings, links, blocks, root, findings)
     _check_parents(settings, root, findings)
-    _check_shifts(settings, root, findings)
+    _check_shifts(settings, shifts, root, findings)
     return Failure(findings) if findings else Success(settings)
 
 
@@ -220,18 +223,18 @@
 
 
 def _read_list(root, section, cls, findings):
-    """Return the items of a section that is a list."""
+    """Return the valid items of a section that is a list, by their index in it."""
     node = root.value.get(section)
     if node is None:
-        return ()
+        return {}
     if not node.is_sequence:
         findings.add(node, (section,), f"expected a list, got {node.plain!r}")
-        return ()
-    items = [
-        build(cls, child, (section, str(i)), findings)
+        return {}
+    items = {
+        i: build(cls, child, (section, str(i)), findings)
         for i, child in enumerate(node.value)
-    ]
-    return tuple(item for item in items if item is not None)
+    }
+    return {i: item for i, item in items.items() if item is not None}
 
 
 def _read_region(name, node, path, findings):
@@ -262,8 +265,16 @@
 # --- checks across sections ----------------------------------------------
 
 
-def _check_topology(settings, root, findings):
-    """Record unknown names, duplicate failure domains and duplicate blocks."""
+def _check_topology(settings, links, blocks, root, findings):
+    """Record unknown names, duplicate failure domains and duplicate blocks.
+
+    Args:
+        settings: The settings.
+        links: Valid links by their index in the file.
+        blocks: Valid blocks likewise.
+        root: Root node.
+        findings: Collects all errors.
+    """
     region_of = {}
     for name, region in settings.regions.items():
         for domain in region.domains:
@@ -274,14 +285,14 @@
                     f"failure domain {domain!r} is in {region_of[domain]!r} too",
                 )
             region_of[domain] = name
-    for i, link in enumerate(settings.links):
+    for i, link in links.items():
         for key in ("source", "target"):
             region = getattr(link, key)
             if region not in settings.regions:
                 node = root.value["links"].value[i]
                 findings.add(node, ("links", str(i), key), f"unknown region {region!r}")
     seen_networks = set()
-    for i, block in enumerate(settings.blocks):
+    for i, block in blocks.items():
         node = root.value["blocks"].value[i]
         path = ("blocks", str(i))
         if block.domain not in region_of:
@@ -317,11 +328,18 @@
     return any(ancestor.name == branch.name for ancestor in ancestors)
 
 
-def _check_shifts(settings, root, findings):
-    """Record unknown names, shares over the cap and sums of shares over 100 %."""
+def _check_shifts(settings, shifts, root, findings):
+    """Record unknown names, shares over the cap and sums of shares over 100 %.
+
+    Args:
+        settings: The settings.
+        shifts: Valid shifts by their index in the file.
+        root: Root node.
+        findings: Collects all errors.
+    """
     totals = {}
     cyclic = any(_in_cycle(settings, branch) for branch in settings.branches.values())
-    for i, shift in enumerate(settings.shifts):
+    for i, shift in shifts.items():
         node, path = root.value["shifts"].value[i], ("shifts", str(i))
         known = _check_shift_references(settings, shift, node, path, findings)
         if not known or cyclic:
--- a/packages/snipebay-model/tests/test_settings.py
+++ b/packages/snipebay-model/tests/test_settings.py
@@ -74,6 +74,19 @@
             with self.subTest(expected=expected):
                 self.assertIn(expected, "\n".join(findings(text)))
 
+    def test_rows_after_an_invalid_one_keep_their_index(self):
+        text = TREE + (
+            "links:\n- {source: 3}\n- {source: norte, target: east}\n"
+            "blocks:\n- {network: x, domain: ilo}\n"
+            "- {network: 10.0.0.0/8, domain: callao}\n"
+            "shifts:\n- {service: 3}\n"
+            "- {service: check, source: norte, target: east, share: 0.1}\n"
+        )
+        found = "\n".join(findings(text))
+        self.assertIn("t.yaml:13:3: links.1.target: unknown region 'east'", found)
+        self.assertIn("t.yaml:16:3: blocks.1.domain: unknown", found)
+        self.assertIn("t.yaml:19:3: shifts.1.target: unknown region 'east'", found)
+
     def test_shares_over_100_percent(self):
         text = TREE.replace("retries: 2", "retries: 2, shift_cap: 1")
         text = text.replace("sur: {", "este: {domains: [e]}\n  sur: {")
