--- a/packages/snipebay-testbed/src/snipebay_testbed/demo.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/demo.py
@@ -21,7 +21,11 @@
 from snipebay_testbed.deployments import DEPLOYMENTS
 from snipebay_testbed.http_client import HttpClient
 from snipebay_testbed.load import CallerSimulator, ServiceLoad
-from snipebay_testbed.processes import RunningDeployment, read_run_counts
+from snipebay_testbed.processes import (
+    RunningDeployment,
+    read_run_counts,
+    reserve_ports,
+)
 from snipebay_testbed.timers import Timers, tick
 
 __all__ = ["LoadGenerator", "RunReport", "main"]
@@ -97,8 +101,8 @@
         ready_s: Time until all backend servers had joined, including the warm-up.
         in_force_s: Time until the settings change was in force everywhere.
         drain_s: Time that the drain took.
-        late_requests: Requests sent to a backend server after it asked to be
-            drained.
+        late_requests: Requests sent to a backend server after it was told that it
+            is drained.
         killed: Ids of instances that did not stop gracefully.
         violations: Descriptions of violated invariants.
     """
@@ -127,14 +131,26 @@
         deployment: ``marina`` or ``badvatten``.
         seed: Random seed.
         seconds: Duration of the load.
-        first_port: First of about 150 ports on 127.0.0.1.
+        first_port: First port on 127.0.0.1 to try; a run uses 200.
         faults: Instead of the drain, kill the leader, pause an instance and wipe
             the disk of another, then change a setting.
         keep: Keep logs, spans and data.
     """
     directory = pathlib.Path(tempfile.mkdtemp(prefix="snipebay-"))
     spec = DEPLOYMENTS[deployment]
-    running = RunningDeployment(deployment, spec, directory, first_port, seed)
+    with reserve_ports(first_port) as port:
+        running = RunningDeployment(deployment, spec, directory, port, seed)
+        report = _play(running, seed, seconds, faults)
+    if keep or report.violations:
+        print(f"logs, spans and data: {directory}")
+    else:
+        shutil.rmtree(directory)
+    return 1 if report.violations else 0
+
+
+def _play(running, seed, seconds, faults):
+    """Run a deployment, print the summary and return the :class:`RunReport`."""
+    spec = running.deployment
     report = RunReport()
     stats_by_service = {}
     print(f"{spec.name}: {spec.entries} instances, {len(running.backends)} backends")
@@ -146,11 +162,7 @@
         report.killed = running.stop()
     _check_invariants(report, stats_by_service, faults)
     _print_summary(report, stats_by_service)
-    if keep or report.violations:
-        print(f"logs, spans and data: {directory}")
-    else:
-        shutil.rmtree(directory)
-    return 1 if report.violations else 0
+    return report
 
 
 def _start_and_wait(running, report):
@@ -219,6 +231,10 @@
         time.sleep(0.1)
         stub_report = _call_stub(address, "report")
         report.drain_s = stub_report["drained_after_s"]
+    # The load goes on, so a request that is sent there by mistake would arrive now.
+    time.sleep(seconds * 0.2)
+    late_requests = _call_stub(address, "report")["late_requests"]
+    report.late_requests = late_requests - stub_report["late_requests"]
 
 
 def _inject_faults(running, report, seconds):
@@ -296,6 +312,8 @@
         drained_late = report.drain_s is None or report.drain_s > MAX_DRAIN_S
         if drained_late and not under_faults:
             violations.append(f"drained after {report.drain_s!r} s")
+    if report.late_requests:
+        violations.append(f"{report.late_requests} requests after the drain")
     if report.killed:
         violations.append(f"did not stop gracefully: {report.killed}")
 
@@ -322,8 +340,8 @@
         )
     )
     print(
-        f"ready after {report.ready_s:.1f} s; change in force everywhere after "
-        f"{report.in_force_s} s; drained in {report.drain_s} s"
+        f"ready after {_seconds(report.ready_s)}; change in force everywhere after "
+        f"{_seconds(report.in_force_s)}; drained in {_seconds(report.drain_s)}"
         if report.ready_s
         else "never ready"
     )
@@ -332,6 +350,10 @@
     print("all invariants held" if not report.violations else "invariants violated")
 
 
+def _seconds(duration_s):
+    return "-" if duration_s is None else f"{duration_s:.2f} s"
+
+
 def main():
     """Run the command-line interface."""
     sys.exit(app())
--- a/packages/snipebay-testbed/src/snipebay_testbed/processes.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/processes.py
@@ -1,8 +1,10 @@
 """Starts a deployment as separate processes on loopback addresses."""
 
+import contextlib
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -12,11 +14,36 @@
 
 from snipebay_testbed.deployments import Deployment
 
-__all__ = ["RunningDeployment", "read_run_counts"]
+__all__ = ["RunningDeployment", "read_run_counts", "reserve_ports"]
 
 STUB_PROCESSES = 2
 BACKEND_PORT_OFFSET = 100
 BIN_DIRECTORY = pathlib.Path(sys.executable).parent
+# Ports of one deployment; the last one is bound while they are in use.
+PORT_COUNT = 200
+LAST_PORT = 32_000
+
+
+@contextlib.contextmanager
+def reserve_ports(first_port):
+    """Yield the first of ``PORT_COUNT`` ports that no other run uses.
+
+    Args:
+        first_port: First port to try.
+
+    Raises:
+        OSError: If all are in use.
+    """
+    for port in range(first_port, LAST_PORT, PORT_COUNT):
+        with contextlib.closing(socket.socket()) as guard:
+            try:
+                guard.bind(("127.0.0.1", port + PORT_COUNT - 1))
+            except OSError:
+                # Another run holds them.
+                continue
+            yield port
+            return
+    raise OSError(f"no free ports from {first_port} to {LAST_PORT}")
 
 
 @attrs.define
