Send requests through an instance that has connections

What callers saw in test_split_rooms (440 instances, 256 connections to each of 10 backend servers): one instance refused all requests of a service, with 'no backend server has room' while slots were free. With 185 instances and 3 connections to a single one, 182 did. Cause: with fewer connections than instances those that rank first have one each, and the others may rank nowhere. Change: such an instance sends the request through another one, as it does while it reaches no backend server; a request that came over a hop takes no second one. Tests: TestFewConnections; two of three failed before.

--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -81,9 +81,12 @@
         """Return True when a request was dispatched or waits for its permit."""
         if now_s >= row.deadline_s:
             return False
-        if self.ctx.reach.is_isolated:
-            return self.try_hop(row, now_s)
         service = self.ctx.service(row.service)
+        connections = service.max_connections
+        if self.ctx.reach.is_isolated or self.ctx.fleet.lacks_connections(
+            row.service, connections
+        ):
+            return self.try_hop(row, now_s)
         for region in self._regions(row):
             choice = self.ctx.fleet.choose(
                 row.service,
@@ -97,7 +100,7 @@
                 is_closed=self.permits.is_closed,
                 avoid_domains=row.avoid_domains,
                 cold_per_s=service.cold_per_s,
-                connections=service.max_connections,
+                connections=connections,
             )
             if choice is None:
                 continue
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -315,6 +315,21 @@
         own = limit // max(1, len(self._entries))
         return own or int(limit > 0 and self._is_ranked(backend_id, limit))
 
+    def lacks_connections(self, service, limit):
+        """Return True if other instances have all connections of a service.
+
+        The load pattern: a few backend servers that accept fewer connections than there
+        are instances.
+
+        Args:
+            service: The service.
+            limit: Connections that each backend server accepts from all instances.
+        """
+        members = self._open.of_service(service)
+        if not members or limit <= 0 or limit >= len(self._entries):
+            return False
+        return not any(self._is_ranked(m.row.backend_id, limit) for m in members)
+
     def _is_ranked(self, backend_id, count):
         """Return True if this instance ranks among the first for a backend server."""
         if backend_id not in self._ranked_entries:
--- a/packages/snipebay-policy/tests/test_sums_over_instances.py
+++ b/packages/snipebay-policy/tests/test_sums_over_instances.py
@@ -3,10 +3,12 @@
 import unittest
 
 from snipebay_model.messages import RenewReply
+from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
 from snipebay_policy.fleet import COLD_OWNERS, COLD_RATE_SHARE, Fleet
 from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.routed import RoutedConfig, RoutedCore
+from snipebay_policy.work import Dispatch, Problem
 
 SIZES = (1, 12, 185, 440)
 BACKEND = BackendRow("i", "s", "10.0.0.1:80", "a", "a-1", 4)
@@ -55,6 +57,52 @@
         self.assertEqual(fleet.max_connections("i", 9), 3)
 
 
+class TestFewConnections(unittest.TestCase):
+    """Fewer connections than instances: some have a connection to no backend server."""
+
+    COUNT, LIMIT = 185, 3
+
+    def dispatch(self, core):
+        core.forward.on_request(1, "a.example", "/x", 5.0, 0.0)
+        return next(a for a in core.pop_actions() if isinstance(a, Dispatch | Problem))
+
+    def start(self, limit):
+        route = Route("r", "a.example", "/", True, 2.0, 0.8, 1, (("s", 1.0),), 2)
+        plan = Plan(1, (route,), (RoutedService("s", max_connections=limit),))
+        found = tuple(cores(self.COUNT, ForwardRules()))
+        reply = RenewReply(
+            "c", True, quorum_revision=2, delta=ViewDelta(1, 2, plan=plan)
+        )
+        for core in found:
+            core.receive("c", reply, 0.0)
+            core.pop_actions()
+        return found
+
+    def test_requests_of_the_others_go_through_another_instance(self):
+        found = [self.dispatch(core) for core in self.start(self.LIMIT)]
+        direct = [action for action in found if action.attempts_before_hop is None]
+        self.assertEqual(len(direct), self.LIMIT)
+        self.assertEqual({a.backend.backend_id for a in direct}, {"i"})
+
+    def test_a_request_that_came_over_a_hop_is_refused_there(self):
+        core = next(
+            c
+            for c in self.start(self.LIMIT)
+            if c.fleet.lacks_connections("s", self.LIMIT)
+        )
+        core.forward.on_request(1, "a.example", "/x", 5.0, 0.0, attempts_before_hop=1)
+        core.tick(1.0)
+        actions = core.pop_actions()
+        self.assertFalse([a for a in actions if isinstance(a, Dispatch)])
+        (problem,) = (a for a in actions if isinstance(a, Problem))
+        self.assertEqual((problem.status, problem.reason), (503, "no_room"))
+
+    def test_no_hop_while_no_instance_may_connect(self):
+        core = self.start(0)[0]
+        core.forward.on_request(1, "a.example", "/x", 5.0, 0.0)
+        self.assertFalse([a for a in core.pop_actions() if isinstance(a, Dispatch)])
+
+
 class TestRetries(unittest.TestCase):
     RULES = ForwardRules(retry_ratio=0.15, retry_slack=20.0)
 
