Bound the log and the plan history of control by bytes

Worse was to come: the log was compacted by its number of entries, 4,000, while each change of a plan with 2,000 routes is an entry of a megabyte with its document. Cause: compaction counted entries; replaced plans were said to share their unchanged routes but each was decoded anew, and kept its document.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -59,6 +59,8 @@
         leases: Timing of the leases.
         compact_entries: Number of entries that compaction is based on; the log is
             compacted when it has more than twice as many.
+        compact_bytes: The log is also compacted when the applied entries have more
+            bytes: each change of a long traffic plan is an entry of a megabyte.
         hello_interval_s: Interval between ``Hello`` messages of an instance
             without members.
         idle_clock_interval_s: Interval between clock commands while no
@@ -78,6 +80,7 @@
     raft: RaftTiming = RaftTiming()
     leases: LeaseTiming = LeaseTiming()
     compact_entries: int = 2_000
+    compact_bytes: int = 8 * 1024 * 1024
     hello_interval_s: float = 0.2
     idle_clock_interval_s: float = 60.0
     dynamic_membership: bool = False
@@ -126,6 +129,7 @@
         self._lease_settings_revision = 0
         self._next_clock_s = 0.0
         self._applied_index = self.raft.commit_index
+        self._applied_bytes = 0
         if not self.raft.members and cfg.node in cfg.initial_voters:
             self.raft.bootstrap(dict.fromkeys(cfg.initial_voters, True))
 
@@ -191,6 +195,7 @@
         if ready.snapshot is not None and ready.snapshot.index:
             self.state = ControlState.from_dump(ready.snapshot.data)
             self._applied_index = ready.snapshot.index
+            self._applied_bytes = 0
         for entry in ready.committed:
             self._apply(entry)
         for request in ready.confirmed_reads:
@@ -199,8 +204,10 @@
             outcome = Outcome("not-leader", detail="not the leader, or no quorum")
             reply = StatusReply(request.request_id, outcome, self.leader_id)
             self._outbox.append((sender, reply))
-        if len(self.raft.log.entries) > 2 * self.cfg.compact_entries:
+        is_long = len(self.raft.log.entries) > 2 * self.cfg.compact_entries
+        if is_long or self._applied_bytes > self.cfg.compact_bytes:
             self.raft.compact(self._applied_index, self.state.dump())
+            self._applied_bytes = 0
 
     def pop_messages(self):
         """Return pairs of receiver and message to send, and clear them."""
@@ -436,6 +443,7 @@
 
     def _apply(self, entry):
         self._applied_index = entry.index
+        self._applied_bytes += len(entry.data)
         outcome = Outcome("ok", self.state.revision)
         if entry.kind == "command":
             kind, data = msgspec.msgpack.decode(entry.data, type=COMMAND_TYPE)
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -314,12 +314,12 @@
         if cmd.plan.version <= version:
             detail = f"version {cmd.plan.version!r} is not above {version!r}"
             return Outcome("invalid", self.revision, detail)
-        old, self.plan = self.plan, cmd.plan
+        old, self.plan = self.plan, cmd.plan.sharing_rows_of(self.plan)
         self._plan_digests[cmd.digest] = None
         if len(self._plan_digests) > MAX_CHANGE_IDS:
             self._plan_digests.popitem(last=False)
         revision = self._record_change("plan")
-        self._plan_history.record(revision, old)
+        self._plan_history.record(revision, old and old.without_source())
         return Outcome("ok", revision)
 
     def _evacuate(self, cmd):
--- a/packages/snipebay-control/tests/test_control_core.py
+++ b/packages/snipebay-control/tests/test_control_core.py
@@ -5,7 +5,8 @@
 import attrs
 from snipebay_control.core import ControlConfig
 from snipebay_control.waiting_renewals import WaitingRenewals
-from snipebay_model.messages import ApplySettings, PutBackend, Renew
+from snipebay_model.messages import ApplyPlan, ApplySettings, PutBackend, Renew
+from snipebay_model.plan import Plan
 from snipebay_model.view import BackendRow, EntryRow
 from snipebay_testbed.control_rig import ControlRig
 
@@ -44,6 +45,41 @@
         self.assertEqual(set(revisions.values()), {revision}, f"at {revisions}")
 
 
+class TestLogSize(ControlCase):
+    """Operators change a long plan hundreds of times a day."""
+
+    CHANGES, DOCUMENT_BYTES, LIMIT_BYTES = 60, 50_000, 400_000
+
+    def apply_plans(self, rig, first, last):
+        for version in range(first, last):
+            source = bytes(self.DOCUMENT_BYTES) + str(version).encode()
+            plan = Plan(version, source=source)
+            outcome = rig.call(ApplyPlan(f"d{version}", version - 1, plan))
+            self.assertEqual(outcome.code, "ok")
+
+    def test_log_is_compacted_by_bytes(self):
+        cfg = ControlConfig("", (), compact_bytes=self.LIMIT_BYTES)
+        rig = ControlRig(1, cfg=cfg)
+        rig.elect()
+        self.apply_plans(rig, 1, self.CHANGES)
+        rig.hosts["c3"].kill()
+        self.apply_plans(rig, self.CHANGES, 2 * self.CHANGES)
+        rig.hosts["c3"].start()
+        rig.scheduler.run_for(5.0)
+        for host in rig.hosts.values():
+            held = sum(len(entry.data) for entry in host.disk.log.entries)
+            self.assertLess(held, self.LIMIT_BYTES + 2 * self.DOCUMENT_BYTES)
+            self.assertEqual(host.core.state.plan.version, 2 * self.CHANGES - 1)
+        for host in rig.hosts.values():
+            host.kill()
+        for host in rig.hosts.values():
+            host.start()
+        rig.elect()
+        rig.scheduler.run_for(2.0)
+        for host in rig.hosts.values():
+            self.assertEqual(host.core.state.plan.version, 2 * self.CHANGES - 1)
+
+
 class TestElection(ControlCase):
     def test_starts_with_all_members_voting(self):
         rig = ControlRig(1, 5)
--- a/packages/snipebay-control/tests/test_plan_patches.py
+++ b/packages/snipebay-control/tests/test_plan_patches.py
@@ -52,6 +52,19 @@
         self.assertEqual(view.plan, self.state.plan.without_source())
 
 
+class TestMemory(PlanCase):
+    def test_replaced_plans_share_their_rows_and_have_no_document(self):
+        for n in range(MAX_PLANS):
+            self.routes[n] = route(n, "s1")
+            self.apply(self.routes)
+        replaced = [p for p in self.state._plan_history._replaced.values() if p]
+        self.assertEqual(len(replaced), MAX_PLANS)
+        rows = {id(row) for p in (*replaced, self.state.plan) for row in p.routes}
+        self.assertEqual(len(rows), ROUTES + MAX_PLANS)
+        self.assertFalse(any(p.source for p in replaced))
+        self.assertTrue(self.state.plan.source)
+
+
 class TestPatches(PlanCase):
     def test_change_of_one_route_is_small(self):
         view = self.state.view()
--- a/packages/snipebay-model/src/snipebay_model/plan.py
+++ b/packages/snipebay-model/src/snipebay_model/plan.py
@@ -114,6 +114,25 @@
         """Return the plan without its document, which entry instances don't use."""
         return attrs.evolve(self, source=b"")
 
+    def sharing_rows_of(self, old):
+        """Return an equal plan whose rows are those of an older plan where equal.
+
+        Args:
+            old: The older :class:`Plan`, or None.
+        """
+        if old is None:
+            return self
+        routes = _shared_rows(self.routes, old.routes)
+        return attrs.evolve(
+            self, routes=routes, services=_shared_rows(self.services, old.services)
+        )
+
+
+def _shared_rows(rows, old_rows):
+    """Return rows, replaced by equal old ones of the same name."""
+    known = {row.name: row for row in old_rows}
+    return tuple(known[row.name] if known.get(row.name) == row else row for row in rows)
+
 
 @attrs.frozen
 class PlanReading:
