--- a/packages/snipebay-policy/src/snipebay_policy/region_shares.py
+++ b/packages/snipebay-policy/src/snipebay_policy/region_shares.py
@@ -1,9 +1,9 @@
 """Splits the requests of a service over regions by capacity and demand.
 
-The load pattern: a region has a tenth of the backend servers and a third of the callers.
-Affinity gives some servers of a region about twice the mean load, so they queue long
-before the region as a whole is full, and its caches hold fewer keys than its callers
-use. Requests leave such a region before its queues are long.
+The load pattern: a region has a tenth of the backend servers and a third of the
+callers. Affinity gives some servers of a region about twice the mean load, so they
+queue long before the region as a whole is full, and its caches hold fewer keys than its
+callers use. Requests leave such a region before its queues are long.
 """
 
 import attrs
--- a/packages/snipebay-testbed/src/snipebay_testbed/affinity_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/affinity_study.py
@@ -3,7 +3,7 @@
 Three regions of three failure domains, one of them with few backend servers; each
 region has keys of its own. A backend server answers a key fast while it is among the
 last few that it handled. Decisions are those of :class:`Fleet`; regions are assigned
-to keys by the capacity of the regions.
+to keys by :func:`target_shares` of the slots and the demand.
 """
 
 import collections
@@ -14,6 +14,7 @@
 import numpy as np
 from snipebay_model.view import BackendRow, EntryRow, View
 from snipebay_policy.fleet import Fleet
+from snipebay_policy.region_shares import target_shares
 from snipebay_policy.service_times import ServiceTimes
 
 from snipebay_testbed.fakes import Scheduler
@@ -36,6 +37,7 @@
         keys: Number of keys of each region.
         cached_keys: Keys that a backend server answers fast.
         per_s: Requests a second in all.
+        demand: Share of the requests that arrive in each region.
         cold_s: Time to a response for a key that is not cached.
         cached_s: The same for a cached one.
         target_s: Target latency.
@@ -48,6 +50,7 @@
     keys: int = 300
     cached_keys: int = 15
     per_s: float = 390.0
+    demand: tuple = (1 / 3, 1 / 3, 1 / 3)
     cold_s: float = 1.56
     cached_s: float = 0.47
     target_s: float = 1.0
@@ -67,6 +70,8 @@
         crossed: Requests that left their failure domain.
         refused: Requests that found no room.
         busiest: Requests of the busiest backend server over the mean.
+        by_region: Number of requests after the first third, and of those answered
+            within the target, by the region of their callers.
     """
 
     total: int = 0
@@ -76,6 +81,7 @@
     crossed: int = 0
     refused: int = 0
     busiest: float = 0.0
+    by_region: dict = attrs.Factory(lambda: {r: [0, 0] for r in REGIONS})
 
     @property
     def on_time_share(self):
@@ -87,6 +93,11 @@
         """The same for the last two thirds of the run."""
         return self.settled_on_time / self.settled_total
 
+    def settled_share_of(self, region):
+        """Return the settled share for the callers of a region."""
+        total, on_time = self.by_region[region]
+        return on_time / total
+
     @property
     def crossed_share(self):
         """Share of the requests that left their failure domain."""
@@ -172,24 +183,35 @@
         return itertools.chain.from_iterable(self.hosts.values())
 
     def _assign_regions(self):
-        """Return the region in which each key runs: equal load on all slots."""
-        weights = np.array(self.load.backends) / sum(self.load.backends)
+        """Return the region in which each key runs, by the shares of the regions."""
+        load = self.load
+        slots = {
+            region: count * DOMAINS_PER_REGION * load.slots
+            for region, count in zip(REGIONS, load.backends, strict=True)
+        }
+        demand = {
+            region: part * load.per_s * load.cached_s
+            for region, part in zip(REGIONS, load.demand, strict=True)
+        }
         found = {}
-        for own, region in enumerate(REGIONS):
-            kept = min(1.0, weights[own] * len(REGIONS))
-            spill = np.maximum(0.0, weights - 1 / len(REGIONS))
-            spill = spill / spill.sum() if spill.sum() else weights
-            for number in range(self.load.keys):
-                point = (number + 0.5) / self.load.keys
+        for region in REGIONS:
+            shares = target_shares(region, slots, demand)
+            others = [r for r in shares if r != region]
+            parts = np.array([shares[r] for r in others])
+            for number in range(load.keys):
+                point = (number + 0.5) / load.keys
                 run = region
-                if point >= kept:
-                    run = REGIONS[int(self.rng.choice(len(REGIONS), p=spill))]
+                if point >= shares.get(region, 0.0):
+                    run = others[
+                        int(self.rng.choice(len(others), p=parts / parts.sum()))
+                    ]
                 found[f"{region}{number}"] = run
         return found
 
     def _arrive(self):
         load = self.load
-        domain = list(self.hosts)[int(self.rng.integers(len(self.hosts)))]
+        region = REGIONS[int(self.rng.choice(len(REGIONS), p=load.demand))]
+        domain = f"{region}-{int(self.rng.integers(DOMAINS_PER_REGION))}"
         hosts = self.hosts[domain]
         key = f"{domain[0]}{int(self.rng.integers(load.keys))}"
         self._send(hosts[int(self.rng.integers(len(hosts)))], key, self._now_s)
@@ -278,6 +300,10 @@
         result.on_time += is_on_time
         result.settled_total += is_settled
         result.settled_on_time += is_on_time and is_settled
+        if is_settled:
+            counts = result.by_region[host.row.region]
+            counts[0] += 1
+            counts[1] += is_on_time
         if member is None:
             result.refused += 1
         else:
