Weigh the way to another region against the target latency

Cause: a request that leaves its region loses a round trip, a third of a target of 0.2 s and a fourteenth of one of 1 s. Change: a region keeps requests up to a utilization of 0.3 and the share of the median target latency of the service's routes that a round trip takes, 0.6 at most: 0.37 at 1 s. The test of a region that keeps all is again as it was; the line between keeping and sending is tested at two utilizations.

--- a/packages/snipebay-policy/src/snipebay_policy/region_shares.py
+++ b/packages/snipebay-policy/src/snipebay_policy/region_shares.py
@@ -3,25 +3,40 @@
 The load pattern: a region has a tenth of the backend servers and a third of the
 callers. Affinity gives some servers of a region about twice the mean load, so they
 queue long before the region as a whole is full, and its caches hold fewer keys than its
-callers use. Requests leave such a region before its queues are long.
+callers use. Requests leave such a region before its queues are long, the sooner the
+less the way to another region counts against their target latency.
 """
 
 import attrs
 
 from snipebay_policy.routes import Split
 
-__all__ = ["RegionShares", "target_shares"]
+__all__ = ["RegionShares", "kept_utilization", "target_shares"]
 
 
-# Utilization of its slots up to which a region keeps all of its requests. Its busiest
-# backend servers have about twice as much.
-LOCAL_UTILIZATION = 0.35
+# Utilization of its slots up to which a region keeps all of its requests, however far
+# the others are: its busiest backend servers have about twice as much.
+MIN_KEPT_UTILIZATION = 0.3
+# The same for requests to which the way to another region costs most of their target.
+MAX_KEPT_UTILIZATION = 0.6
+# Round trip between regions, for comparison with target latencies.
+REGION_ROUND_TRIP_S = 0.07
 # A lower local demand, in slots, is too small to be meaningful; all regions are then
 # assumed to have the same demand.
 MIN_DEMAND = 0.5
 
 
-def target_shares(local_region, capacity, demand):
+def kept_utilization(target_s):
+    """Return the utilization of its slots up to which a region keeps its requests.
+
+    Args:
+        target_s: Target latency of the service's requests.
+    """
+    lost_share = REGION_ROUND_TRIP_S / max(target_s, REGION_ROUND_TRIP_S)
+    return min(MAX_KEPT_UTILIZATION, MIN_KEPT_UTILIZATION + lost_share)
+
+
+def target_shares(local_region, capacity, demand, kept=MAX_KEPT_UTILIZATION):
     """Return the share of the local requests that each region should handle.
 
     A region keeps the requests that fit into its slots up to a target
@@ -32,27 +47,29 @@
         local_region: Region where the requests arrive.
         capacity: Slots by region, without regions that have none.
         demand: Slots needed by the requests that arrive in each region.
+        kept: Utilization up to which a region keeps its requests.
     """
     if not capacity:
         return {}
     slots = sum(capacity.values())
     if demand.get(local_region, 0.0) < MIN_DEMAND:
         regions = {*capacity, local_region}
-        demand = dict.fromkeys(regions, LOCAL_UTILIZATION * slots / len(regions))
+        demand = dict.fromkeys(regions, kept * slots / len(regions))
     local_demand, load = demand[local_region], sum(demand.values())
-    level = max(LOCAL_UTILIZATION, load / slots)
-    kept = min(1.0, level * capacity.get(local_region, 0) / local_demand)
+    level = max(kept, load / slots)
+    kept_share = min(1.0, level * capacity.get(local_region, 0) / local_demand)
     surplus = {
         region: max(0.0, level * count - demand.get(region, 0.0))
         for region, count in capacity.items()
         if region != local_region
     }
-    if kept >= 1.0 or not sum(surplus.values()):
+    if kept_share >= 1.0 or not sum(surplus.values()):
         return (
             {local_region: 1.0} if local_region in capacity else _normalized(capacity)
         )
-    shares = {r: (1.0 - kept) * part for r, part in _normalized(surplus).items()}
-    return {**shares, local_region: kept} if kept else shares
+    sent_share = 1.0 - kept_share
+    shares = {r: sent_share * part for r, part in _normalized(surplus).items()}
+    return {**shares, local_region: kept_share} if kept_share else shares
 
 
 @attrs.define
@@ -75,10 +92,10 @@
     _updated_s: float | None = None
     _splits: dict = attrs.Factory(dict)
 
-    def update(self, capacity, demand, now_s):
+    def update(self, capacity, demand, now_s, kept=MAX_KEPT_UTILIZATION):
         """Move the shares towards the targets for a capacity and demand."""
         self.capacity = capacity
-        target = target_shares(self.local_region, capacity, demand)
+        target = target_shares(self.local_region, capacity, demand, kept)
         # Regions without capacity lose their share at once, without the rate limit.
         kept = {r: share for r, share in self.shares.items() if r in capacity}
         elapsed_s = now_s - self._updated_s if self._updated_s is not None else 0.0
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -18,6 +18,7 @@
 from snipebay_policy.hop_table import HopTable
 from snipebay_policy.rate_limits import RateLimitTable
 from snipebay_policy.reach import ReachMonitor
+from snipebay_policy.region_shares import kept_utilization
 from snipebay_policy.renewal_pacing import renewal_interval_s
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_tables import ServiceTables
@@ -345,7 +346,8 @@
         for service in services:
             capacity = self.fleet.capacity(service, now_s)
             shares = self.shares(service)
-            shares.update(capacity, self._demand.get(service, {}), now_s)
+            kept = kept_utilization(self.table.target_s(service))
+            shares.update(capacity, self._demand.get(service, {}), now_s, kept)
             self._log_share_change(service, shares.shares)
 
     def _log_share_change(self, service, shares):
--- a/packages/snipebay-policy/src/snipebay_policy/routes.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routes.py
@@ -1,6 +1,8 @@
 """Matches requests to routes and splits the requests of a route over services."""
 
 import hashlib
+import math
+import statistics
 
 import attrs
 
@@ -71,6 +73,7 @@
             self._splits[route.name] = (
                 split if is_unchanged else Split(route.split, owner)
             )
+        self._targets_s = _targets_s(plan.routes)
 
     def find(self, host, path):
         """Return the route with the longest matching path prefix, or None."""
@@ -79,6 +82,20 @@
             (r for r in self._hosts.get(name, ()) if path.startswith(r.prefix)), None
         )
 
+    def target_s(self, service):
+        """Return the median target latency of the routes to a service."""
+        return self._targets_s.get(service, math.inf)
+
     def next_service(self, route):
         """Return the service for the next request of a route."""
         return self._splits[route.name].next()
+
+
+def _targets_s(routes):
+    """Return the median target latency of the routes to each service."""
+    targets = {}
+    for route in routes:
+        for service, weight in route.split:
+            if weight > 0:
+                targets.setdefault(service, []).append(route.target_latency_s)
+    return {service: statistics.median(found) for service, found in targets.items()}
--- a/packages/snipebay-policy/tests/test_routing.py
+++ b/packages/snipebay-policy/tests/test_routing.py
@@ -1,12 +1,20 @@
 """Tests of routes, splits and shares by region."""
 
 import collections
+import math
 import unittest
 
 import attrs
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_policy.affinity import AffinityTable
-from snipebay_policy.region_shares import LOCAL_UTILIZATION, RegionShares, target_shares
+from snipebay_policy.region_shares import (
+    MAX_KEPT_UTILIZATION,
+    MIN_KEPT_UTILIZATION,
+    REGION_ROUND_TRIP_S,
+    RegionShares,
+    kept_utilization,
+    target_shares,
+)
 from snipebay_policy.routes import RouteTable, Split
 
 
@@ -37,6 +45,15 @@
         table = RouteTable(attrs.evolve(self.plan, routes=(route("a", "/a/"),)))
         self.assertIsNone(table.find("a.example", "/b/"))
 
+    def test_target_of_a_service_is_the_median_of_its_routes(self):
+        routes = [
+            attrs.evolve(route(f"r{n}", f"/{n}/"), target_latency_s=target_s)
+            for n, target_s in enumerate((0.01, 0.4, 0.5))
+        ]
+        table = RouteTable(attrs.evolve(self.plan, routes=tuple(routes)))
+        self.assertEqual(table.target_s("s"), 0.4)
+        self.assertEqual(table.target_s("unknown"), math.inf)
+
     def test_split_continues_over_a_new_plan(self):
         split = (("s", 1.0), ("t", 1.0))
         plan = Plan(1, (route("r", "/", split=split),))
@@ -75,13 +92,27 @@
 
 class TestTargetShares(unittest.TestCase):
     def test_region_with_enough_capacity_keeps_all(self):
-        capacity, full = {"a": 10, "b": 10}, 10 * LOCAL_UTILIZATION
-        self.assertEqual(target_shares("a", capacity, {"a": full}), {"a": 1.0})
-        self.assertLess(target_shares("a", capacity, {"a": full + 0.1})["a"], 1.0)
+        self.assertEqual(target_shares("a", {"a": 10, "b": 10}, {"a": 5.0}), {"a": 1.0})
+
+    def test_line_between_keeping_all_and_sending_some(self):
+        capacity = {"a": 10, "b": 10}
+        for kept in (0.3, 0.6):
+            shares = target_shares("a", capacity, {"a": 10 * kept}, kept)
+            self.assertEqual(shares, {"a": 1.0})
+            shares = target_shares("a", capacity, {"a": 10 * kept + 0.1}, kept)
+            self.assertLess(shares["a"], 1.0)
+
+    def test_requests_leave_later_when_the_way_costs_much_of_their_target(self):
+        found = [kept_utilization(t) for t in (0.0, 0.2, 0.3, 0.6, 1.0, 2.5, math.inf)]
+        self.assertEqual(found, sorted(found, reverse=True))
+        self.assertEqual(found[:2], [MAX_KEPT_UTILIZATION] * 2)
+        self.assertEqual(found[-1], MIN_KEPT_UTILIZATION)
+        at_round_trip = kept_utilization(REGION_ROUND_TRIP_S)
+        self.assertEqual(at_round_trip, MAX_KEPT_UTILIZATION)
 
     def test_region_sends_away_what_exceeds_its_utilization_level(self):
         shares = target_shares("a", {"a": 10, "b": 50}, {"a": 12.0, "b": 6.0})
-        self.assertAlmostEqual(shares["a"], LOCAL_UTILIZATION * 10 / 12)
+        self.assertAlmostEqual(shares["a"], MAX_KEPT_UTILIZATION * 10 / 12)
         self.assertAlmostEqual(sum(shares.values()), 1.0)
 
     def test_beyond_the_level_all_regions_have_the_same_utilization(self):
--- a/packages/snipebay-testbed/src/snipebay_testbed/affinity_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/affinity_study.py
@@ -14,7 +14,7 @@
 import numpy as np
 from snipebay_model.view import BackendRow, EntryRow, View
 from snipebay_policy.fleet import Fleet
-from snipebay_policy.region_shares import target_shares
+from snipebay_policy.region_shares import kept_utilization, target_shares
 from snipebay_policy.service_times import ServiceTimes
 
 from snipebay_testbed.fakes import Scheduler
@@ -38,6 +38,7 @@
         cached_keys: Keys that a backend server answers fast.
         per_s: Requests a second in all.
         demand: Share of the requests that arrive in each region.
+        kept: Utilization up to which a region keeps its requests.
         cold_s: Time to a response for a key that is not cached.
         cached_s: The same for a cached one.
         target_s: Target latency.
@@ -51,6 +52,7 @@
     cached_keys: int = 15
     per_s: float = 390.0
     demand: tuple = (1 / 3, 1 / 3, 1 / 3)
+    kept: float = kept_utilization(1.0)
     cold_s: float = 1.56
     cached_s: float = 0.47
     target_s: float = 1.0
@@ -195,7 +197,7 @@
         }
         found = {}
         for region in REGIONS:
-            shares = target_shares(region, slots, demand)
+            shares = target_shares(region, slots, demand, load.kept)
             others = [r for r in shares if r != region]
             parts = np.array([shares[r] for r in others])
             for number in range(load.keys):
--- a/packages/snipebay-testbed/tests/test_affinity_at_scale.py
+++ b/packages/snipebay-testbed/tests/test_affinity_at_scale.py
@@ -1,10 +1,8 @@
 """Tests that many instances place affinity keys as well as a few of them do."""
 
 import unittest
-from unittest import mock
 
-from snipebay_policy import region_shares
-from snipebay_policy.region_shares import LOCAL_UTILIZATION
+from snipebay_policy.region_shares import kept_utilization
 from snipebay_testbed.affinity_study import REGIONS, AffinityStudy, StudyLoad
 
 SIZES = (9, 82, 185, 440)
@@ -47,13 +45,12 @@
 class TestRegionWithLittleRoom(unittest.TestCase):
     """A tenth of the backend servers and a fifth of the callers are in one region."""
 
-    def shares(self, instances, utilization):
+    def shares(self, instances, kept):
         """Return the share in time for the callers of each region."""
         load = StudyLoad(
-            instances, per_s=607.0, demand=(0.46, 0.19, 0.35), seconds=12.0
+            instances, per_s=607.0, demand=(0.46, 0.19, 0.35), kept=kept, seconds=12.0
         )
-        with mock.patch(f"{region_shares.__name__}.LOCAL_UTILIZATION", utilization):
-            found = AffinityStudy(load, 1, count_all).run()
+        found = AffinityStudy(load, 1, count_all).run()
         return [found.settled_share_of(region) for region in REGIONS]
 
     def test_its_callers_are_served_better_when_requests_leave_early(self):
@@ -61,7 +58,7 @@
             with self.subTest(instances=size):
                 late, early = (
                     self.shares(size, 0.6),
-                    self.shares(size, LOCAL_UTILIZATION),
+                    self.shares(size, kept_utilization(1.0)),
                 )
                 self.assertGreater(early[1], late[1] + NOISE)
                 for region in (0, 2):
