--- a/review/harness/script.py
+++ b/review/harness/script.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 
@@ -19,12 +20,15 @@
     """
 
     async def limited():
+        # All processes are also ended when the script itself is stopped.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(TIME_LIMIT_S):
             return await main()
 
     try:
         code = asyncio.run(limited())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         code = EXIT_CANNOT_RUN
     words = {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}
