--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -129,7 +129,7 @@
                     f"{self.name} ended by itself with code {self.process.returncode}"
                 )
                 await asyncio.sleep(RESTART_DELAY_S)
-                if self._is_wanted:
+                if self._is_wanted and self.process.poll() is not None:
                     self.start()
             elif self._deployment.limits_memory:
                 self._check_memory()
