Decide the last response of a connection when it is written

Cause: the response that closes a connection was chosen when its head was produced. In a pipeline it may be held behind an earlier one, while further requests are read and dispatched; the close cancelled them.

Change: held responses are kept as events and encoded when they are due; the mark goes to a response with nothing behind it, and input ends with it. A connection left idle by a response that began before the stop closes after the delay of the other idle ones.

--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -45,7 +45,7 @@
     Attributes:
         connection: Connection on which the request arrived.
         parser: The h11 parser of this request and its response.
-        pending_output: Encoded response bytes held back until the responses to
+        held_events: HTTP events of the response, held back until the responses to
             earlier requests have been sent.
         request_id: Id unique in this process.
         method: Method as text.
@@ -65,7 +65,7 @@
     def __init__(self, connection, parser, request_id, event):
         self.connection = connection
         self.parser = parser
-        self.pending_output = bytearray()
+        self.held_events = []
         self.request_id = request_id
         self.method = event.method.decode("ascii")
         self.target = event.target.decode("latin-1")
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -208,6 +208,13 @@
 
     def send(self, exchange, event):
         """Send an HTTP event of a response, or hold it until earlier ones are sent."""
+        if self._pipeline and self._pipeline[0] is exchange:
+            self._write(exchange, event)
+        else:
+            exchange.held_events.append(event)
+
+    def _write(self, exchange, event):
+        """Write an event of the response that is due."""
         if not self.stream.is_open:
             return
         if isinstance(event, h11.Response) and self._is_final_response(exchange):
@@ -216,23 +223,31 @@
                 headers=[*event.headers, (b"connection", b"close")],
                 reason=b"",
             )
+            self._is_input_ended = True
         try:
             data = exchange.parser.send(event)
         except h11.LocalProtocolError:
             # For example a body longer than its Content-Length.
             self.stream.abort()
             return
-        if not data:
-            return
-        if self._pipeline and self._pipeline[0] is exchange:
-            self.stream.write(data)
-        else:
-            exchange.pending_output += data
+        self.stream.write(data or b"")
+
+    def _write_held(self, exchange):
+        """Write the held events of a response that has become due."""
+        events, exchange.held_events = exchange.held_events, []
+        for event in events:
+            self._write(exchange, event)
 
     def _is_final_response(self, exchange):
-        """Return True for the last response before the connection closes."""
-        is_newest = bool(self._pipeline) and self._pipeline[-1] is exchange
-        return self.server.is_stopping and is_newest
+        """Return True for the last response before the connection closes.
+
+        During a stop this is a response with no request behind it. It is decided
+        when the response is written: while it is held, further requests may arrive
+        and be dispatched, which the close would cut.
+        """
+        if not self.server.is_stopping or self._pipeline[-1] is not exchange:
+            return False
+        return not exchange.is_complete or self._is_input_empty
 
     def finish_response(self, exchange):
         """Continue with the next request, or close the connection."""
@@ -244,16 +259,15 @@
             if done.parser.our_state is h11.MUST_CLOSE or is_body_incomplete:
                 self._close()
                 return
-            if self._pipeline and self._pipeline[0].pending_output:
-                self.stream.write(bytes(self._pipeline[0].pending_output))
-                self._pipeline[0].pending_output.clear()
+            if self._pipeline:
+                self._write_held(self._pipeline[0])
         if not self.stream.is_open:
             return
         if not self._pipeline and self._receiving is None:
             if self._is_input_ended:
                 self._close()
                 return
-            self._set_deadline(self.server.limits().idle_timeout_s)
+            self._set_idle_deadline()
         self._dispatch_ready()
         self.stream.resume()
         self._process_events()
@@ -277,7 +291,13 @@
     def close_soon_if_idle(self):
         """Shorten the idle timeout; a request that arrives before it is handled."""
         if self._is_idle:
+            self._set_idle_deadline()
+
+    def _set_idle_deadline(self):
+        if self.server.is_stopping:
             self._set_deadline(STOP_IDLE_DELAY_S)
+        else:
+            self._set_deadline(self.server.limits().idle_timeout_s)
 
     def _reject(self, status, detail):
         """Respond to the current request with an error and close."""
