Send the rejection of an invalid request behind earlier responses

A malformed, oversized or stalled request on a connection with pipelined requests before it closed the connection at once: responses to requests that backend servers were running were cut.

Cause: `_reject` aborted the stream if an earlier response was unfinished.

Change: the encoded rejection is kept and written once the pipeline is empty; then the connection closes.

--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -78,6 +78,7 @@
         self._parser = self._new_parser()
         self._receiving = None
         self._pipeline = collections.deque()
+        self._rejection = b""
         self._is_input_ended = False
         self._is_parsing = False
         self._set_deadline(server.limits().head_timeout_s)
@@ -245,7 +246,8 @@
         when the response is written: while it is held, further requests may arrive
         and be dispatched, which the close would cut.
         """
-        if not self.server.is_stopping or self._pipeline[-1] is not exchange:
+        is_newest = self._pipeline[-1] is exchange and not self._rejection
+        if not self.server.is_stopping or not is_newest:
             return False
         return not exchange.is_complete or self._is_input_empty
 
@@ -274,6 +276,8 @@
 
     def _close(self):
         self._is_input_ended = True
+        self.stream.write(self._rejection)
+        self._rejection = b""
         self.stream.close()
 
     @property
@@ -300,31 +304,24 @@
             self._set_deadline(self.server.limits().idle_timeout_s)
 
     def _reject(self, status, detail):
-        """Respond to the current request with an error and close."""
+        """Respond to the current request with an error and close.
+
+        The error is sent behind the responses to earlier requests.
+        """
         self._set_deadline(None)
         exchange, self._receiving = self._receiving, None
+        self._is_input_ended = True
         if exchange is not None:
             exchange.is_done = True
             if exchange in self._pipeline:
                 self._pipeline.remove(exchange)
-        self._is_input_ended = True
-        if self._pipeline or (exchange is not None and exchange.is_started):
-            # Earlier responses are unfinished; the caller has to retry those
-            # requests.
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._rejection = _encode_rejection(self._parser, status, detail)
+        elif self._pipeline or (exchange is not None and exchange.is_started):
             self.stream.abort()
             return
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = problem_body(status, "not-run", detail)
-            headers = [
-                ("Content-Type", PROBLEM_TYPE),
-                ("Content-Length", str(len(body))),
-                ("Snipebay-Outcome", "not-run"),
-                ("Connection", "close"),
-            ]
-            response = h11.Response(status_code=status, headers=headers, reason=b"")
-            events = (response, h11.Data(data=body), h11.EndOfMessage())
-            self.stream.write(b"".join(self._parser.send(event) for event in events))
-        self.stream.close()
+        if not self._pipeline:
+            self._close()
 
     def _new_parser(self):
         head_bytes = self.server.limits().head_bytes
@@ -335,6 +332,20 @@
         self.deadline_s = self.server.clock() + limit_s
 
 
+def _encode_rejection(parser, status, detail):
+    """Return the bytes of a last response that says why a request is invalid."""
+    body = problem_body(status, "not-run", detail)
+    headers = [
+        ("Content-Type", PROBLEM_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Snipebay-Outcome", "not-run"),
+        ("Connection", "close"),
+    ]
+    response = h11.Response(status_code=status, headers=headers, reason=b"")
+    events = (response, h11.Data(data=body), h11.EndOfMessage())
+    return b"".join(parser.send(event) for event in events)
+
+
 def _framing_error(exchange):
     """Return why a request's framing is rejected, or an empty string."""
     lengths = [v for name, v in exchange.headers if name == b"content-length"]
--- a/packages/snipebay-node/tests/test_http.py
+++ b/packages/snipebay-node/tests/test_http.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from snipebay_node.http_server import STOP_IDLE_DELAY_S, HttpServer
+from snipebay_node.http_server import BODY_TIMEOUT_S, STOP_IDLE_DELAY_S, HttpServer
 from snipebay_node.upstream import (
     CONNECT_TIMEOUT_S,
     UpstreamPool,
@@ -255,6 +255,45 @@
         self.assertFalse(self.stream.is_open)
 
 
+class TestRejectionBehindRunningRequests(ServerCase):
+    """Guards against running requests cut by an invalid one behind them."""
+
+    def setUp(self):
+        super().setUp()
+        self.app.hold_responses = True
+        self.send(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    def assert_rejected_after_the_response(self, status):
+        self.assertEqual((bytes(self.stream.sent), self.app.disconnected), (b"", []))
+        self.app.respond(self.app.exchanges[0])
+        heads = bytes(self.stream.sent).split(b"HTTP/1.1 ")[1:]
+        self.assertEqual([int(head[:3]) for head in heads], [200, status])
+        self.assertFalse(self.stream.is_open)
+
+    def test_malformed_request(self):
+        self.send(b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n")
+        self.assert_rejected_after_the_response(400)
+
+    def test_malformed_request_in_a_stop(self):
+        self.server.stop()
+        self.test_malformed_request()
+
+    def test_bytes_that_are_no_request(self):
+        self.send(b"\x16\x03\x01\x02\x00\r\n\r\n")
+        self.assert_rejected_after_the_response(400)
+
+    def test_oversized_body(self):
+        raw = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n"
+        self.send(raw + b"x" * 200)
+        self.assert_rejected_after_the_response(413)
+
+    def test_body_that_stops_arriving(self):
+        self.send(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+        self.now_s = 2 * BODY_TIMEOUT_S
+        self.server.tick(self.now_s)
+        self.assert_rejected_after_the_response(408)
+
+
 class Listener:
     """Records the events of the pool."""
 
