Refuse orders that a newer acknowledged one has replaced

Cause: an evacuation has neither version nor sequence, and a complete request was handled although its connection had been closed.

Change: a command carries the log index that the instance had applied when the caller connected; the leader refuses an order that would undo one above that index.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -24,6 +24,7 @@
 from snipebay_control.entry_replies import EntryReplies
 from snipebay_control.joining import JoinProtocol
 from snipebay_control.membership import instance_id_of
+from snipebay_control.order_guard import OrderGuard
 from snipebay_control.raft import Raft, RaftTiming
 from snipebay_control.rate_limit_board import RateLimitBoard
 from snipebay_control.sessions import LeaseTiming, Sessions
@@ -43,6 +44,7 @@
     messages.VoteRequest,
 )
 COMMAND_TYPE = tuple[str, bytes]
+EVACUATE = messages.Evacuate.__name__
 # Interval between two counts of the affinity keys, which change slowly.
 KEY_COUNT_INTERVAL_S = 0.5
 
@@ -100,6 +102,9 @@
         stored: Persistent state loaded at start.
         rng: ``numpy.random.Generator`` for election timeouts.
         now_s: Current time.
+
+    Attributes:
+        applied_index: Log index of the newest entry in the state.
     """
 
     def __init__(self, cfg, stored, rng, now_s):
@@ -128,7 +133,8 @@
         self._next_key_count_s = 0.0
         self._lease_settings_revision = 0
         self._next_clock_s = 0.0
-        self._applied_index = self.raft.commit_index
+        self.applied_index = self.raft.commit_index
+        self._orders = OrderGuard(self.applied_index, self.state.evacuated)
         self._applied_bytes = 0
         if not self.raft.members and cfg.node in cfg.initial_voters:
             self.raft.bootstrap(dict.fromkeys(cfg.initial_voters, True))
@@ -194,7 +200,8 @@
         self._outbox += ready.messages
         if ready.snapshot is not None and ready.snapshot.index:
             self.state = ControlState.from_dump(ready.snapshot.data)
-            self._applied_index = ready.snapshot.index
+            self.applied_index = ready.snapshot.index
+            self._orders = OrderGuard(self.applied_index, self.state.evacuated)
             self._applied_bytes = 0
         for entry in ready.committed:
             self._apply(entry)
@@ -206,7 +213,7 @@
             self._outbox.append((sender, reply))
         is_long = len(self.raft.log.entries) > 2 * self.cfg.compact_entries
         if is_long or self._applied_bytes > self.cfg.compact_bytes:
-            self.raft.compact(self._applied_index, self.state.dump())
+            self.raft.compact(self.applied_index, self.state.dump())
             self._applied_bytes = 0
 
     def pop_messages(self):
@@ -243,6 +250,7 @@
         self._base_clock_ms = self.state.now_ms
         self._pending_replies.clear()
         self._proposed_commands.clear()
+        self._orders.start_term()
         self.joining.joining_members.clear()
         self._pacer = UpdatePacer()
         self._pushed_settled.clear()
@@ -298,6 +306,8 @@
         outcome = self._immediate_outcome(msg)
         if outcome is None:
             index = self._propose_encoded(msg.kind, msg.data)
+            if msg.kind == EVACUATE:
+                self._orders.record_proposed(decode_body(msg.kind, msg.data), index)
             pending_reply = (self.raft.term, sender, msg.request_id, self._now_s)
             self._pending_replies[index] = pending_reply
             return
@@ -315,10 +325,16 @@
         outcome = admission(
             self.state, cmd, requires_known_service=self.cfg.dynamic_membership
         )
+        if isinstance(cmd, messages.Evacuate) and self._is_outdated(cmd, msg):
+            self.telemetry.changes.append(("outdated order refused", cmd.domain))
+            return Outcome("outdated", detail="a newer order was given since")
         if isinstance(cmd, messages.PutBackend) and outcome and outcome.code == "ok":
             self._grant_backend(cmd.row)
         return outcome
 
+    def _is_outdated(self, cmd, msg):
+        return msg.base_index >= 0 and self._orders.is_outdated(cmd, msg.base_index)
+
     def _propose(self, cmd):
         return self._propose_encoded(*encode_body(cmd))
 
@@ -337,12 +353,14 @@
     # --- applying ---------------------------------------------------------
 
     def _apply(self, entry):
-        self._applied_index = entry.index
+        self.applied_index = entry.index
         self._applied_bytes += len(entry.data)
         outcome = Outcome("ok", self.state.revision)
         if entry.kind == "command":
             kind, data = msgspec.msgpack.decode(entry.data, type=COMMAND_TYPE)
             outcome = self.state.apply(kind, data)
+            if kind == EVACUATE:
+                self._orders.record_applied(decode_body(kind, data), entry.index)
             self._proposed_commands.discard((kind, data))
             if kind == "PutBackend" and self.raft.is_leader:
                 self._grant_backend(decode_body(kind, data).row)
--- /dev/null
+++ b/packages/snipebay-control/tests/test_delayed_orders.py
@@ -0,0 +1,117 @@
+"""Tests that a delayed order does not undo a newer one that was acknowledged."""
+
+import unittest
+
+from snipebay_control.core import ControlConfig
+from snipebay_control.order_guard import OrderGuard
+from snipebay_model.messages import Evacuate
+from snipebay_testbed.control_rig import ControlRig
+
+START = Evacuate("a-1", True)
+END = Evacuate("a-1", False)
+
+
+class TestOrderGuard(unittest.TestCase):
+    def test_only_an_opposite_order_above_the_base_counts(self):
+        guard = OrderGuard(10, ())
+        guard.record_applied(START, 20)
+        self.assertTrue(guard.is_outdated(END, 19))
+        self.assertFalse(guard.is_outdated(END, 20))
+        self.assertFalse(guard.is_outdated(START, 5))
+        self.assertFalse(guard.is_outdated(Evacuate("a-2", False), 5))
+
+    def test_order_in_the_initial_state_may_be_as_new_as_that(self):
+        guard = OrderGuard(10, ("a-1",))
+        self.assertTrue(guard.is_outdated(END, 9))
+        self.assertFalse(guard.is_outdated(END, 10))
+        self.assertTrue(guard.is_outdated(Evacuate("a-2", True), 9))
+
+    def test_proposed_order_counts_until_the_term_ends(self):
+        guard = OrderGuard(0, ())
+        guard.record_proposed(START, 20)
+        self.assertTrue(guard.is_outdated(END, 19))
+        guard.start_term()
+        self.assertFalse(guard.is_outdated(END, 19))
+
+
+class TestDelayedOrders(unittest.TestCase):
+    """Guards against an abandoned withdrawal that ends a newer evacuation."""
+
+    def setUp(self):
+        self.rig = ControlRig(1, 3)
+        self.rig.elect()
+        self.call(START)
+        self.abandoned_base = self.newest_index()
+        self.call(END)
+        self.call(START)
+
+    def newest_index(self):
+        self.rig.scheduler.run_for(0.5)
+        return self.rig.elect().core.applied_index
+
+    def call(self, cmd):
+        outcome = self.rig.call(cmd, base_index=self.newest_index())
+        self.assertEqual(outcome.code, "ok")
+
+    def assert_abandoned_order_is_refused(self):
+        outcome = self.rig.call(END, base_index=self.abandoned_base)
+        self.assertEqual(outcome.code, "outdated")
+        self.assertEqual(self.rig.elect().core.state.evacuated, {"a-1"})
+
+    def test_order_that_arrives_late_is_refused(self):
+        self.assert_abandoned_order_is_refused()
+
+    def test_order_before_a_repeated_one_without_effect_is_refused(self):
+        self.abandoned_base = self.newest_index()
+        self.call(START)
+        self.assert_abandoned_order_is_refused()
+
+    def test_order_that_arrives_at_a_new_leader_is_refused(self):
+        self.rig.leader.kill()
+        self.rig.scheduler.run_for(3.0)
+        self.assert_abandoned_order_is_refused()
+
+    def test_order_that_arrives_after_all_have_restarted_is_refused(self):
+        for host in self.rig.hosts.values():
+            host.kill()
+        for host in self.rig.hosts.values():
+            host.start()
+        self.assert_abandoned_order_is_refused()
+
+    def test_order_that_arrives_after_a_snapshot_was_installed_is_refused(self):
+        rig = self.rig = ControlRig(2, 3, cfg=ControlConfig("", (), compact_entries=3))
+        behind = next(h for h in rig.hosts.values() if h is not rig.elect())
+        self.call(START)
+        self.abandoned_base = self.newest_index()
+        behind.kill()
+        for order in (END, START, END, START, END, START):
+            self.call(order)
+        behind.start()
+        rig.scheduler.run_for(3.0)
+        while (leader := rig.elect()) is not behind:
+            leader.kill()
+            rig.elect()
+            leader.start()
+            rig.scheduler.run_for(1.0)
+        self.assert_abandoned_order_is_refused()
+
+    def test_order_held_up_at_a_suspended_leader_is_refused(self):
+        leader = self.rig.elect()
+        leader.freeze()
+        late = self.rig.send(END, leader.id, self.abandoned_base)
+        self.rig.scheduler.run_for(5.0)
+        self.call(START)
+        leader.thaw()
+        self.rig.scheduler.run_for(3.0)
+        self.assertNotEqual(self.rig.outcomes[late].code, "ok")
+        self.assertEqual(self.rig.elect().core.state.evacuated, {"a-1"})
+
+    def test_order_repeated_after_a_lost_response_succeeds(self):
+        base = self.newest_index()
+        self.call(END)
+        self.assertEqual(self.rig.call(END, base_index=base).code, "ok")
+        self.call(START)
+
+    def test_order_of_a_sender_without_a_base_is_applied(self):
+        self.assertEqual(self.rig.call(END).code, "ok")
+        self.assertEqual(self.rig.elect().core.state.evacuated, set())
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -238,11 +238,14 @@
         request_id: Id, unique for the sender, that the reply repeats.
         kind: Class name of the command.
         data: Encoded command.
+        base_index: For an order, the log index that the sender had applied when the
+            caller connected; -1 from senders that do not know it.
     """
 
     request_id: int
     kind: str
     data: bytes
+    base_index: int = -1
 
 
 @attrs.frozen
--- a/packages/snipebay-node/src/snipebay_node/control_client.py
+++ b/packages/snipebay-node/src/snipebay_node/control_client.py
@@ -55,12 +55,13 @@
         """Replace the plan if its current version is ``base_version``."""
         self._command(messages.ApplyPlan(digest, base_version, plan), done)
 
-    def evacuate(self, domain, evacuated, done):
+    def evacuate(self, domain, evacuated, done, base_index):
         """Start or end the evacuation of a failure domain.
 
-        No requests are sent to the backend servers of an evacuated domain.
+        No requests are sent to the backend servers of an evacuated domain. The
+        outcome is ``outdated`` if the opposite order was given after ``base_index``.
         """
-        self._command(messages.Evacuate(domain, evacuated), done)
+        self._command(messages.Evacuate(domain, evacuated), done, base_index)
 
     def announce(self, row, done):
         """Add or update a backend server, or renew its lease."""
@@ -110,13 +111,14 @@
 
     # --- helpers ----------------------------------------------------------
 
-    def _command(self, cmd, done):
+    def _command(self, cmd, done, base_index=-1):
         self.commands.now_s = self.clock()
         self.commands.send(
             cmd,
             lambda outcome, at_s: done(outcome),
             lambda at_s: done(UNAVAILABLE),
             CALL_TIMEOUT_S,
+            base_index,
         )
 
     def _send_read(self, read_id):
--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -58,6 +58,8 @@
         is_handled: True once the request was passed to the application.
         is_started: True once the response head was sent or queued.
         is_done: True once the response has ended, or was aborted by either side.
+        closes_connection: True if the connection closes after the response, unless
+            further requests have arrived.
         span: Trace span of the request, or None.
         detail: Detail of the problem document sent, or empty.
     """
@@ -77,6 +79,7 @@
         self.is_handled = False
         self.is_started = False
         self.is_done = False
+        self.closes_connection = False
         self.span = None
         self.detail = ""
 
@@ -93,6 +96,11 @@
         """True for a safe method, see RFC 9110, section 9.2.1."""
         return self.method in ("GET", "HEAD")
 
+    @property
+    def log_index(self):
+        """Log index applied here when the caller connected, -1 if unknown."""
+        return self.connection.log_index
+
     @property
     def stream(self):
         return self.connection.stream
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -36,13 +36,22 @@
         limits: Function returning the :class:`RequestLimits` in force.
         on_response: Called with the exchange, its status and the problem detail
             when a response starts.
+        log_index: Function returning the log index that this instance has applied.
     """
 
-    def __init__(self, app, clock, limits=lambda: DEFAULT_LIMITS, on_response=None):
+    def __init__(
+        self,
+        app,
+        clock,
+        limits=lambda: DEFAULT_LIMITS,
+        on_response=None,
+        log_index=lambda: -1,
+    ):
         self.app = app
         self.clock = clock
         self.limits = limits
         self.on_response = on_response
+        self.log_index = log_index
         self.connections = set()
         self.is_stopping = False
         self._ids = itertools.count(1)
@@ -70,11 +79,17 @@
 
 
 class _Connection:
-    """One HTTP connection; parses requests and orders the responses."""
+    """One HTTP connection; parses requests and orders the responses.
+
+    Attributes:
+        log_index: Log index that this instance had applied when it accepted the
+            connection, -1 if unknown.
+    """
 
     def __init__(self, server, stream):
         self.server = server
         self.stream = stream
+        self.log_index = server.log_index()
         self._parser = self._new_parser()
         self._receiving = None
         self._pipeline = collections.deque()
@@ -242,12 +257,14 @@
     def _is_final_response(self, exchange):
         """Return True for the last response before the connection closes.
 
-        During a stop this is a response with no request behind it. It is decided
+        During a stop, or if the application asks for it, this is a response with no
+        request behind it. It is decided
         when the response is written: while it is held, further requests may arrive
         and be dispatched, which the close would cut.
         """
         is_newest = self._pipeline[-1] is exchange and not self._rejection
-        if not self.server.is_stopping or not is_newest:
+        may_close = self.server.is_stopping or exchange.closes_connection
+        if not may_close or not is_newest:
             return False
         return not exchange.is_complete or self._is_input_empty
 
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -125,6 +125,7 @@
         self._node_name = settings.internal
         self._shutdown_started_s = None
         self._storage_retry_at_s = 0.0
+        self._last_log_index = 0
         self._leader = ""
         self._members = {}
         self.bus = FrameBus(
@@ -167,7 +168,16 @@
                     self.clock(), event, subject, status=status, detail=detail
                 )
 
-        self._listen(address, HttpServer(app, self.clock, on_response=record_response))
+        server = HttpServer(
+            app, self.clock, on_response=record_response, log_index=self._log_index
+        )
+        self._listen(address, server)
+
+    def _log_index(self):
+        """Return the newest log index that the control role has applied."""
+        if self.control is not None:
+            self._last_log_index = self.control.applied_index
+        return self._last_log_index
 
     def _listen(self, address, server):
         self.servers.append(server)
--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -54,6 +54,16 @@
         """True while the send buffer is above the high-water mark."""
         return len(self._buffer) > WRITE_HIGH_WATER_BYTES
 
+    @property
+    def has_peer_closed(self):
+        """True if the peer has closed its side and all input before that was read."""
+        try:
+            return self.is_open and not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def write(self, data):
         """Send bytes, or buffer those that the socket does not accept yet."""
         if not self.is_open or not data:
--- a/packages/snipebay-policy/src/snipebay_policy/commands.py
+++ b/packages/snipebay-policy/src/snipebay_policy/commands.py
@@ -26,6 +26,7 @@
     created_s: float
     must_confirm: bool
     timeout_s: float
+    base_index: int
 
 
 class CommandSystem:
@@ -45,7 +46,14 @@
         self._ids = itertools.count(1)
         self._round_robin = itertools.count()
 
-    def send(self, cmd, callback, on_timeout=None, timeout_s=DEFAULT_TIMEOUT_S):
+    def send(
+        self,
+        cmd,
+        callback,
+        on_timeout=None,
+        timeout_s=DEFAULT_TIMEOUT_S,
+        base_index=-1,
+    ):
         """Send a command, and retry it until control replies or it times out.
 
         Args:
@@ -53,8 +61,16 @@
             callback: Function of outcome and time, called at most once.
             on_timeout: Function of time, called instead if no reply came in time.
             timeout_s: Time after which the command is abandoned.
+            base_index: Base of an order, see :class:`CommandRequest`.
         """
-        self._enqueue(cmd, callback, on_timeout, timeout_s, must_confirm=False)
+        self._enqueue(
+            cmd,
+            callback,
+            on_timeout,
+            timeout_s,
+            must_confirm=False,
+            base_index=base_index,
+        )
 
     def send_until_confirmed(self, cmd):
         """Send a command that must not be lost, retrying until control confirms it.
@@ -112,23 +128,24 @@
             elif now_s - pending.sent_s >= RETRY_INTERVAL_S:
                 pending.sent_s = now_s
                 self.clear_leader()
-                self._transmit(request_id, pending.cmd)
+                self._transmit(request_id, pending)
 
     @property
     def unconfirmed_count(self):
         """Number of commands sent until confirmed that control has not confirmed."""
         return sum(pending.must_confirm for pending in self._pending.values())
 
-    def _enqueue(self, cmd, callback, on_timeout, timeout_s, *, must_confirm):
+    def _enqueue(
+        self, cmd, callback, on_timeout, timeout_s, *, must_confirm, base_index=-1
+    ):
         request_id = next(self._ids)
         now_s = self.now_s
-        self._pending[request_id] = _Pending(
-            cmd, callback, on_timeout, now_s, now_s, must_confirm, timeout_s
+        pending = self._pending[request_id] = _Pending(
+            cmd, callback, on_timeout, now_s, now_s, must_confirm, timeout_s, base_index
         )
-        self._transmit(request_id, cmd)
+        self._transmit(request_id, pending)
 
-    def _transmit(self, request_id, cmd):
-        kind, data = encode_body(cmd)
-        self.ctx.queue_action(
-            Send(self.target(), CommandRequest(request_id, kind, data))
-        )
+    def _transmit(self, request_id, pending):
+        kind, data = encode_body(pending.cmd)
+        request = CommandRequest(request_id, kind, data, pending.base_index)
+        self.ctx.queue_action(Send(self.target(), request))
--- a/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
@@ -177,22 +177,23 @@
         self.scheduler.run_for(0.2)
         return self.leader
 
-    def send(self, cmd, target=None):
+    def send(self, cmd, target=None, base_index=-1):
         """Send a command and return its request id.
 
         Args:
             cmd: Command to send.
             target: Id of the receiving instance; by default the leader, or the
                 first instance when there is none.
+            base_index: Base of an order, see :class:`CommandRequest`.
         """
         self._request_count += 1
         kind, data = encode_body(cmd)
         target = target or (self.leader.id if self.leader else sorted(self.hosts)[0])
-        request = CommandRequest(self._request_count, kind, data)
+        request = CommandRequest(self._request_count, kind, data, base_index)
         self.network.send("client", target, request)
         return self._request_count
 
-    def call(self, cmd, limit_s=20.0):
+    def call(self, cmd, limit_s=20.0, base_index=-1):
         """Send a command until it has an outcome, and return the outcome.
 
         The command is sent again after 1 s without a reply and after a
@@ -200,7 +201,7 @@
         """
         end_s = self.scheduler.now_s + limit_s
         while self.scheduler.now_s < end_s:
-            request_id = self.send(cmd)
+            request_id = self.send(cmd, base_index=base_index)
             self.scheduler.wait_for(lambda i=request_id: i in self.outcomes, 1.0)
             outcome = self.outcomes.get(request_id)
             if outcome is not None and outcome.code != "not-leader":
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -10,6 +10,7 @@
 
     Attributes:
         sent: Bytes written so far.
+        has_peer_closed: True once the peer has closed its side.
     """
 
     def __init__(self, *, connecting=False):
@@ -19,6 +20,7 @@
         self.buffered_bytes = 0
         self.is_congested = False
         self.was_reset = False
+        self.has_peer_closed = False
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
 
     def write(self, data):
