Compact a log only up to a new applied entry

A control instance that crashed between saving the entry that makes its log long and compacting it did not start any more: it compacted the log up to the same index without end.

Evidence: test_start_with_a_long_log_of_which_nothing_is_committed failed before (work is left after every round) and passes now.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -212,7 +212,8 @@
             reply = StatusReply(request.request_id, outcome, self.leader_id)
             self._outbox.append((sender, reply))
         is_long = len(self.raft.log.entries) > 2 * self.cfg.compact_entries
-        if is_long or self._applied_bytes > self.cfg.compact_bytes:
+        is_long |= self._applied_bytes > self.cfg.compact_bytes
+        if is_long and self.applied_index > self.raft.log.snapshot.index:
             self.raft.compact(self.applied_index, self.state.dump())
             self._applied_bytes = 0
 
--- a/packages/snipebay-control/tests/test_control_core.py
+++ b/packages/snipebay-control/tests/test_control_core.py
@@ -3,9 +3,18 @@
 import unittest
 
 import attrs
-from snipebay_control.core import ControlConfig
+import numpy as np
+from snipebay_control.core import ControlConfig, ControlCore
+from snipebay_control.raft_log import HardState, PersistentState
 from snipebay_control.waiting_renewals import WaitingRenewals
-from snipebay_model.messages import ApplyPlan, ApplySettings, PutBackend, Renew
+from snipebay_model.messages import (
+    ApplyPlan,
+    ApplySettings,
+    LogEntry,
+    PutBackend,
+    Renew,
+    VoteRequest,
+)
 from snipebay_model.plan import Plan
 from snipebay_model.view import BackendRow, EntryRow
 from snipebay_testbed.control_rig import ControlRig
@@ -57,6 +66,17 @@
             outcome = rig.call(ApplyPlan(f"d{version}", version - 1, plan))
             self.assertEqual(outcome.code, "ok")
 
+    def test_start_with_a_long_log_of_which_nothing_is_committed(self):
+        # A crash after the entry was saved that makes the log long.
+        entries = tuple(LogEntry(i, 1, "command", b"") for i in range(1, 9))
+        stored = PersistentState(HardState(1), entries=entries)
+        cfg = ControlConfig("c1#a", ("c1", "c2", "c3"), compact_entries=3)
+        core = ControlCore(cfg, stored, np.random.default_rng(1), 0.0)
+        core.receive("c2#a", VoteRequest(2, 8, 1), 1.0)
+        for _ in range(3):
+            core.complete_ready(core.pop_ready())
+        self.assertTrue(core.pop_ready().is_empty)
+
     def test_log_is_compacted_by_bytes(self):
         cfg = ControlConfig("", (), compact_bytes=self.LIMIT_BYTES)
         rig = ControlRig(1, cfg=cfg)
