Refuse announcements that a later withdrawal has outdated

Cause: a withdrawal that found no row (its lease had run out, or it was never registered) was acknowledged and left nothing to compare a late announcement with.

How log entries are applied is unchanged.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -21,10 +21,10 @@
 
 from snipebay_control.admission import admission
 from snipebay_control.cluster_status import cluster_status
+from snipebay_control.delayed_commands import OUTDATING_KINDS, DelayedCommands
 from snipebay_control.entry_replies import EntryReplies
 from snipebay_control.joining import JoinProtocol
 from snipebay_control.membership import instance_id_of
-from snipebay_control.order_guard import OrderGuard
 from snipebay_control.raft import Raft, RaftTiming
 from snipebay_control.rate_limit_board import RateLimitBoard
 from snipebay_control.sessions import LeaseTiming, Sessions
@@ -44,7 +44,6 @@
     messages.VoteRequest,
 )
 COMMAND_TYPE = tuple[str, bytes]
-EVACUATE = messages.Evacuate.__name__
 # Interval between two counts of the affinity keys, which change slowly.
 KEY_COUNT_INTERVAL_S = 0.5
 
@@ -134,7 +133,7 @@
         self._lease_settings_revision = 0
         self._next_clock_s = 0.0
         self.applied_index = self.raft.commit_index
-        self._orders = OrderGuard(self.applied_index, self.state.evacuated)
+        self._delayed = DelayedCommands(self.applied_index, self.state)
         self._applied_bytes = 0
         if not self.raft.members and cfg.node in cfg.initial_voters:
             self.raft.bootstrap(dict.fromkeys(cfg.initial_voters, True))
@@ -201,7 +200,7 @@
         if ready.snapshot is not None and ready.snapshot.index:
             self.state = ControlState.from_dump(ready.snapshot.data)
             self.applied_index = ready.snapshot.index
-            self._orders = OrderGuard(self.applied_index, self.state.evacuated)
+            self._delayed = DelayedCommands(self.applied_index, self.state)
             self._applied_bytes = 0
         for entry in ready.committed:
             self._apply(entry)
@@ -251,7 +250,7 @@
         self._base_clock_ms = self.state.now_ms
         self._pending_replies.clear()
         self._proposed_commands.clear()
-        self._orders.start_term()
+        self._delayed.start_term()
         self.joining.joining_members.clear()
         self._pacer = UpdatePacer()
         self._pushed_settled.clear()
@@ -307,8 +306,8 @@
         outcome = self._immediate_outcome(msg)
         if outcome is None:
             index = self._propose_encoded(msg.kind, msg.data)
-            if msg.kind == EVACUATE:
-                self._orders.record_proposed(decode_body(msg.kind, msg.data), index)
+            if msg.kind in OUTDATING_KINDS:
+                self._delayed.record_proposed(decode_body(msg.kind, msg.data), index)
             pending_reply = (self.raft.term, sender, msg.request_id, self._now_s)
             self._pending_replies[index] = pending_reply
             return
@@ -323,19 +322,16 @@
             cmd = decode_body(msg.kind, msg.data)
         except CodecError as exc:
             return Outcome("invalid", detail=str(exc))
+        if outcome := self._delayed.refusal(cmd, msg.base_index):
+            self.telemetry.changes.append(("delayed command refused", outcome.detail))
+            return outcome
         outcome = admission(
             self.state, cmd, requires_known_service=self.cfg.dynamic_membership
         )
-        if isinstance(cmd, messages.Evacuate) and self._is_outdated(cmd, msg):
-            self.telemetry.changes.append(("outdated order refused", cmd.domain))
-            return Outcome("outdated", detail="a newer order was given since")
         if isinstance(cmd, messages.PutBackend) and outcome and outcome.code == "ok":
             self._grant_backend(cmd.row)
         return outcome
 
-    def _is_outdated(self, cmd, msg):
-        return msg.base_index >= 0 and self._orders.is_outdated(cmd, msg.base_index)
-
     def _propose(self, cmd):
         return self._propose_encoded(*encode_body(cmd))
 
@@ -360,8 +356,8 @@
         if entry.kind == "command":
             kind, data = msgspec.msgpack.decode(entry.data, type=COMMAND_TYPE)
             outcome = self.state.apply(kind, data)
-            if kind == EVACUATE:
-                self._orders.record_applied(decode_body(kind, data), entry.index)
+            if kind in OUTDATING_KINDS:
+                self._delayed.record_applied(decode_body(kind, data), entry.index)
             self._proposed_commands.discard((kind, data))
             if kind == "PutBackend" and self.raft.is_leader:
                 self._grant_backend(decode_body(kind, data).row)
--- a/packages/snipebay-control/src/snipebay_control/registry.py
+++ b/packages/snipebay-control/src/snipebay_control/registry.py
@@ -29,13 +29,17 @@
     Attributes:
         rows: Row by id.
         tombstones: Newest withdrawn incarnation by id.
+        withdrawals: Log index of the newest withdrawal by id. Unlike a tombstone it
+            also exists for a withdrawal that found no row to remove.
     """
 
     rows: dict = attrs.Factory(dict)
     tombstones: dict = attrs.Factory(dict)
+    withdrawals: dict = attrs.Factory(dict)
 
-    def load(self, rows, tombstones):
+    def load(self, rows, tombstones, withdrawals):
         """Replace the contents with those of a snapshot."""
+        self.withdrawals = dict(withdrawals)
         self.rows.clear()
         self.rows.update({row.backend_id: row for row in rows})
         self.tombstones = {tombstone.backend_id: tombstone for tombstone in tombstones}
@@ -81,10 +85,30 @@
         row = self.rows.pop(backend_id, None)
         if row is not None and is_withdrawn and row.born_ms:
             self.tombstones[backend_id] = Tombstone(backend_id, row.born_ms)
-            if len(self.tombstones) > MAX_TOMBSTONES:
-                del self.tombstones[next(iter(self.tombstones))]
+            _drop_oldest(self.tombstones)
         return row is not None
 
+    def record_withdrawal(self, backend_id, index):
+        """Record the log index of a withdrawal that was proposed or applied."""
+        newest = max(index, self.withdrawals.pop(backend_id, 0))
+        self.withdrawals[backend_id] = newest
+        _drop_oldest(self.withdrawals)
+
+    def is_outdated(self, backend_id, base_index):
+        """Return True if an announcement may be older than a withdrawal.
+
+        Args:
+            backend_id: Id of a backend server that is not registered.
+            base_index: Log index that was applied when the sender connected, -1 if
+                that is unknown.
+        """
+        return 0 <= base_index < self.withdrawals.get(backend_id, 0)
+
+
+def _drop_oldest(table):
+    if len(table) > MAX_TOMBSTONES:
+        del table[next(iter(table))]
+
 
 def _announcement_order(row):
     """Return the sort key of the announcements of one id."""
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -46,6 +46,7 @@
         plan_digests: Digests of the accepted plan changes.
         evacuated: Evacuated failure domains.
         tombstones: Withdrawn incarnations of backend servers.
+        withdrawals: Ids of backend servers and log indices of their withdrawals.
     """
 
     revision: int
@@ -61,6 +62,7 @@
     plan_digests: list[str] = attrs.Factory(list)
     evacuated: list[str] = attrs.Factory(list)
     tombstones: list[Tombstone] = attrs.Factory(list)
+    withdrawals: list[tuple[str, int]] = attrs.Factory(list)
 
 
 class ControlState:
@@ -132,6 +134,7 @@
             list(self._plan_digests),
             sorted(self.evacuated),
             list(self.registry.tombstones.values()),
+            list(self.registry.withdrawals.items()),
         )
         return msgspec.msgpack.encode(image)
 
@@ -146,7 +149,7 @@
         state.settings_revision = image.settings_revision
         state.settings = image.settings
         state.now_ms = image.now_ms
-        state.registry.load(image.backends, image.tombstones)
+        state.registry.load(image.backends, image.tombstones, image.withdrawals)
         state.plan = image.plan
         state._plan_digests.update(dict.fromkeys(image.plan_digests))
         state.evacuated = set(image.evacuated)
--- a/packages/snipebay-control/tests/test_delayed_orders.py
+++ b/packages/snipebay-control/tests/test_delayed_commands.py
@@ -1,16 +1,23 @@
-"""Tests that a delayed order does not undo a newer one that was acknowledged."""
+"""Tests that delayed commands do not undo newer ones that were acknowledged."""
 
 import unittest
 
 from snipebay_control.core import ControlConfig
 from snipebay_control.order_guard import OrderGuard
-from snipebay_model.messages import Evacuate
+from snipebay_control.sessions import LeaseTiming
+from snipebay_model.messages import WITHDRAWN, Evacuate, PutBackend, RemoveBackend
+from snipebay_model.view import BackendRow
 from snipebay_testbed.control_rig import ControlRig
 
 START = Evacuate("a-1", True)
 END = Evacuate("a-1", False)
 
 
+def backend(**values):
+    values = {"born_ms": 100, "sequence": 1, **values}
+    return BackendRow("i-1", "s", "10.0.0.1:80", "a", "a-1", 4, **values)
+
+
 class TestOrderGuard(unittest.TestCase):
     def test_only_an_opposite_order_above_the_base_counts(self):
         guard = OrderGuard(10, ())
@@ -115,3 +122,95 @@
     def test_order_of_a_sender_without_a_base_is_applied(self):
         self.assertEqual(self.rig.call(END).code, "ok")
         self.assertEqual(self.rig.elect().core.state.evacuated, set())
+
+
+class TestDelayedAnnouncements(unittest.TestCase):
+    """Guards against a backend server that is registered again after it has left."""
+
+    def setUp(self):
+        self.start_group(ControlRig(1, 3))
+
+    def start_group(self, rig):
+        self.rig = rig
+        rig.elect()
+        self.base = self.newest_index()
+
+    def newest_index(self):
+        self.rig.scheduler.run_for(0.5)
+        return self.rig.elect().core.applied_index
+
+    def announce(self, base_index, **values):
+        return self.rig.call(PutBackend(backend(**values)), base_index=base_index).code
+
+    def withdraw(self):
+        self.rig.call(RemoveBackend("i-1", WITHDRAWN))
+
+    def expire(self):
+        """Let the lease of the backend server run out."""
+        self.rig.scheduler.run_for(LeaseTiming().backend_lease_s + 2.0)
+        self.assertNotIn("i-1", self.rig.elect().core.state.backends)
+
+    def assert_is_not_registered(self, **values):
+        self.assertEqual(self.announce(self.base, **values), "outdated")
+        self.assertNotIn("i-1", self.rig.elect().core.state.backends)
+
+    def test_after_its_lease_had_run_out(self):
+        self.announce(self.base)
+        self.expire()
+        self.withdraw()
+        self.assert_is_not_registered(sequence=2)
+
+    def test_first_one_after_the_withdrawal(self):
+        self.withdraw()
+        self.assert_is_not_registered()
+
+    def test_without_a_start_time(self):
+        self.announce(self.base, born_ms=0)
+        self.withdraw()
+        self.assert_is_not_registered(born_ms=0)
+
+    def test_after_all_have_restarted(self):
+        self.withdraw()
+        for host in self.rig.hosts.values():
+            host.kill()
+        for host in self.rig.hosts.values():
+            host.start()
+        self.assert_is_not_registered()
+
+    def test_after_all_have_restarted_from_a_snapshot(self):
+        cfg = ControlConfig("", (), compact_entries=3)
+        self.start_group(ControlRig(2, 3, cfg=cfg))
+        self.withdraw()
+        for number in range(9):
+            self.rig.call(Evacuate(f"b-{number}", True))
+        for host in self.rig.hosts.values():
+            self.assertGreater(host.core.raft.log.snapshot.index, self.base)
+            host.kill()
+        for host in self.rig.hosts.values():
+            host.start()
+        self.assert_is_not_registered()
+
+    def test_while_the_withdrawal_is_not_committed_yet(self):
+        leader = self.rig.elect()
+        self.rig.send(RemoveBackend("i-1", WITHDRAWN), leader.id)
+        late = self.rig.send(PutBackend(backend()), leader.id, self.base)
+        self.rig.scheduler.run_for(1.0)
+        self.assertEqual(self.rig.outcomes[late].code, "outdated")
+
+    def test_new_incarnation_is_registered(self):
+        self.announce(self.base)
+        self.expire()
+        self.withdraw()
+        self.assertEqual(self.announce(self.newest_index(), born_ms=200), "ok")
+        self.assertIn("i-1", self.rig.elect().core.state.backends)
+
+    def test_server_that_returns_after_its_lease_is_registered(self):
+        self.announce(self.base)
+        self.expire()
+        self.assertEqual(self.announce(self.base, sequence=2), "ok")
+        self.assertIn("i-1", self.rig.elect().core.state.backends)
+
+    def test_registered_server_renews_on_an_old_connection(self):
+        self.withdraw()
+        self.announce(self.newest_index(), born_ms=200)
+        self.assertEqual(self.announce(self.base, born_ms=200, sequence=2), "ok")
--- a/packages/snipebay-node/src/snipebay_node/control_client.py
+++ b/packages/snipebay-node/src/snipebay_node/control_client.py
@@ -63,9 +63,13 @@
         """
         self._command(messages.Evacuate(domain, evacuated), done, base_index)
 
-    def announce(self, row, done):
-        """Add or update a backend server, or renew its lease."""
-        self._command(messages.PutBackend(row), done)
+    def announce(self, row, done, base_index):
+        """Add or update a backend server, or renew its lease.
+
+        The outcome is ``outdated`` if it is not registered and was withdrawn after
+        ``base_index``.
+        """
+        self._command(messages.PutBackend(row), done, base_index)
 
     def withdraw(self, backend_id, done):
         """Remove a backend server that is shutting down."""
