Treat the end of a leaving server's lease as its withdrawal

A backend server that had reported `draining` and whose lease then ran out could be registered as ready by an older announcement that came late, for the length of a lease.

Cause: the end of a lease leaves no tombstone, since a server that was cut off may return. One that is leaving doesn't.

Evidence: test_after_the_lease_of_a_leaving_server_has_run_out failed before (the older announcement was accepted) and passes now.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -6,6 +6,7 @@
 from snipebay_model import messages
 from snipebay_model.codec import CodecError, decode_body, encode_body
 from snipebay_model.messages import (
+    WITHDRAWN,
     CommandReply,
     CommandRequest,
     Hello,
@@ -280,8 +281,13 @@
             (row.entry_id, RemoveEntry(row.entry_id, row.incarnation, reason))
             for row in self.sessions.expired_entries(self.state, self._now_s)
         ]
+        # A leaving backend server doesn't return, so delayed announcements from before
+        # it left must not register it again.
         expired += [
-            (row.backend_id, RemoveBackend(row.backend_id, reason))
+            (
+                row.backend_id,
+                RemoveBackend(row.backend_id, WITHDRAWN if row.leaving else reason),
+            )
             for row in self.sessions.expired_backends(self.state, self._now_s)
         ]
         for name, cmd in expired:
--- a/packages/snipebay-control/tests/test_delayed_commands.py
+++ b/packages/snipebay-control/tests/test_delayed_commands.py
@@ -164,6 +164,12 @@
         self.withdraw()
         self.assert_is_not_registered()
 
+    def test_after_the_lease_of_a_leaving_server_has_run_out(self):
+        self.announce(self.base, sequence=3, leaving=True)
+        self.expire()
+        self.assertEqual(self.announce(-1, sequence=2), "stale")
+        self.assertNotIn("i-1", self.rig.elect().core.state.backends)
+
     def test_without_a_start_time(self):
         self.announce(self.base, born_ms=0)
         self.withdraw()
