Fail a connection to an unusable address instead of raising

A backend server announced with an address that the connecting code can't use (a version 6 address; a port out of range in data of another writer) raised in the middle of a dispatch: requests sent there waited for their deadline, and a probe raised again at each tick.

Cause: `StreamHub.connect` let the errors of the address through.

Change: such a connection has failed from the start, with a log line; addresses of version 6 are connected to. Names are not looked up.

--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -1,9 +1,12 @@
 """Non-blocking TCP connections on the circuits poller, without threads."""
 
 import errno
+import ipaddress
+import os
 import socket
 import time
 
+import structlog
 from circuits import BaseComponent, handler
 
 __all__ = ["Stream", "StreamHub"]
@@ -18,6 +21,8 @@
 # (RFC 5482).
 TCP_USER_TIMEOUT_MS = 3_000
 
+log = structlog.get_logger(__name__)
+
 
 class Stream:
     """One TCP connection.
@@ -192,16 +197,16 @@
     def connect(self, address):
         """Start connecting and return the stream.
 
-        The stream is closed if the connection fails at once.
+        The stream is closed if the connection fails at once, also because the address
+        can't be used.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        _set_socket_options(sock)
-        error_code = sock.connect_ex(_split_address(address))
-        stream = Stream(self, sock, connecting=True)
-        if error_code not in (0, errno.EINPROGRESS):
-            sock.close()
+        stream = Stream(self, None, connecting=True)
+        try:
+            stream.sock = sock = _start_connecting(address)
+        except (OSError, OverflowError, ValueError) as exc:
+            log.warning("connection not started", address=address, error=str(exc))
             stream.is_open = False
+            stream.was_reset = True
             return stream
         self._streams[sock] = stream
         self.poller.addReader(self, sock)
@@ -301,6 +306,31 @@
             self._listeners[listener](stream)
 
 
+def _start_connecting(address):
+    """Return a socket that connects to an address.
+
+    Raises:
+        OSError: If the connection fails at once.
+        OverflowError: If the port is out of range.
+        ValueError: If the address is not an IP number and a port.
+    """
+    host, port = _split_address(address)
+    is_v6 = ipaddress.ip_address(host).version == 6
+    sock = socket.socket(
+        socket.AF_INET6 if is_v6 else socket.AF_INET, socket.SOCK_STREAM
+    )
+    try:
+        sock.setblocking(False)
+        _set_socket_options(sock)
+        error_code = sock.connect_ex((host, port))
+        if error_code not in (0, errno.EINPROGRESS):
+            raise OSError(error_code, os.strerror(error_code))
+    except (OSError, OverflowError):
+        sock.close()
+        raise
+    return sock
+
+
 def _set_socket_options(sock):
     """Disable Nagle's algorithm and limit how long data stays unacknowledged."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/snipebay-node/tests/test_streams.py
+++ b/packages/snipebay-node/tests/test_streams.py
@@ -3,7 +3,8 @@
 import socket
 import unittest
 
-from snipebay_node.streams import Stream
+from circuits.core.pollers import EPoll
+from snipebay_node.streams import Stream, StreamHub
 
 
 class TestPeerClosed(unittest.TestCase):
@@ -25,3 +26,25 @@
     def test_closed_by_the_peer(self):
         self.peer.close()
         self.assertTrue(self.stream.has_peer_closed)
+
+
+class TestConnect(unittest.TestCase):
+    def test_address_that_can_not_be_used_is_a_failed_connection(self):
+        # Rows may come from another writer, or from a build with other checks.
+        hub = StreamHub(EPoll())
+        for address in ("10.0.0.1:70000", "10.0.0.1:-1", "x y:80", "", ":"):
+            with self.subTest(address=address):
+                stream = hub.connect(address)
+                self.assertFalse(stream.is_open)
+                self.assertTrue(stream.was_reset)
+
+    def test_address_of_version_6(self):
+        try:
+            listener = socket.create_server(("::1", 0), family=socket.AF_INET6)
+        except OSError as exc:
+            self.skipTest(f"no IPv6 here: {exc}")
+        self.addCleanup(listener.close)
+        stream = StreamHub(EPoll()).connect(f"[::1]:{listener.getsockname()[1]}")
+        self.addCleanup(stream.abort)
+        self.assertTrue(stream.is_open)
+        listener.accept()[0].close()
