Refuse ports of other digits than 0 to 9

An announcement with a port such as a superscript two, or of thousands of digits, raised instead of getting 400: its sender had no response.

Cause: `str.isdigit` accepts digits that `int` doesn't read.

Evidence: test_odd_values_are_refused_or_can_be_replicated raised ValueError for both values before.

--- a/packages/snipebay-model/src/snipebay_model/schema.py
+++ b/packages/snipebay-model/src/snipebay_model/schema.py
@@ -14,6 +14,8 @@
     "text_field",
 ]
 
+MAX_PORT_DIGITS = 5
+
 
 def number_field(low, high, default, *, unit="", doc="", whole=True):
     """Return an attrs field for a number from ``low`` to ``high``."""
@@ -153,7 +155,8 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isdigit() and 0 < int(port) < 65536
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return is_number and 0 < int(port) < 65536
 
 
 def _check_address(metadata, node):
