End accepted requests before a planned stop does

With the grace of 6 s it took requests up to 2.5 s and cut what still ran at 5.5 s; with a grace below 3 s it took them until the end. With a grace of 1 s its end came with the forced kill.

Cause: requests kept the deadline of their route, and the time to accept and the margin before the kill were fixed, whatever the grace.

Change: the end of a stop limits the deadline of all requests, so that each gets a response (504 unknown, or 503 if it was not sent) with the reason `stopping`, and backend servers are told the shorter time. A non-idempotent request that might not end in time is refused as not run. The times follow the grace (StopSchedule); for 6 s they are the same as before.

--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -30,6 +30,7 @@
 from snipebay_node.http_server import HttpServer
 from snipebay_node.metrics import NodeMetrics
 from snipebay_node.state_collector import StateCollector
+from snipebay_node.stop_schedule import StopSchedule
 from snipebay_node.storage import BOOTSTRAP_INCARNATION, Storage, StorageError
 from snipebay_node.streams import StreamHub
 from snipebay_node.ticker import Ticker
@@ -47,9 +48,6 @@
 RAFT_TIMING = RaftTiming(
     heartbeat_s=0.15, election_min_s=0.7, election_max_s=2.1, leader_lease_s=0.6
 )
-# Requests are accepted this long after a shutdown has started. By then callers have
-# looked up other instances, and requests accepted earlier can still complete.
-SHUTDOWN_ACCEPT_S = 2.5
 MIN_ERROR_STATUS = 400
 ENTRY_MESSAGES = (messages.RenewReply, messages.PermitRequest, messages.PermitReply)
 
@@ -205,10 +203,11 @@
         """
         if self.is_stopping:
             return
-        self._shutdown_started_s = self.clock()
+        now_s = self._shutdown_started_s = self.clock()
         log.info("graceful shutdown started")
         if self.entry is not None:
-            self.entry.leave(self.clock())
+            self.entry.leave(now_s)
+            self.entry.forward.end_by(now_s + self._stop_schedule.requests_end_s)
         if self.control is not None:
             self.control.stop()
         for server in self.servers:
@@ -318,11 +317,11 @@
     def _continue_shutdown(self, now_s):
         """Stop once all requests have ended or the shutdown has timed out."""
         elapsed_s = now_s - self._shutdown_started_s
-        if self.entry is not None and elapsed_s >= SHUTDOWN_ACCEPT_S:
+        if self.entry is not None and elapsed_s >= self._stop_schedule.accept_s:
             self.entry.forward.is_closed = True
         is_idle = self.forwarder is None or self.forwarder.is_idle
         has_timed_out = elapsed_s >= self.settings.stop_timeout_s
-        if (is_idle and elapsed_s >= self._min_shutdown_s) or has_timed_out:
+        if (is_idle and elapsed_s >= self._stop_schedule.min_s) or has_timed_out:
             log.info("stopped", whole=is_idle, seconds=round(elapsed_s, 2))
             self.bus.close()
             if self.storage is not None:
@@ -330,12 +329,8 @@
             self.root.stop(0)
 
     @property
-    def _min_shutdown_s(self):
-        """Minimum duration of a shutdown.
-
-        Callers may use earlier lookups that returned this instance until then.
-        """
-        return SHUTDOWN_ACCEPT_S + 0.5 if self.entry is not None else 0.2
+    def _stop_schedule(self):
+        return StopSchedule(self.settings.stop_timeout_s, self.entry is not None)
 
     @handler("exception", channel="*")
     def _on_exception(self, kind, exc, trace, handler=None, fevent=None):
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -1,6 +1,7 @@
 """Carries requests on routes of the traffic plan from arrival to their responses."""
 
 import collections
+import math
 
 from snipebay_policy.dispatch_queue import DispatchQueue
 from snipebay_policy.forward_reasons import problem_for, refusal_reason
@@ -19,6 +20,7 @@
 
     Attributes:
         is_closed: True when new requests are refused because the instance stops.
+        ends_s: When all requests have ended because the instance stops.
         rows: Request by id.
         queue: Requests that wait for a slot or a permit.
     """
@@ -27,6 +29,7 @@
         self.ctx = ctx
         self.rules = rules or ForwardRules()
         self.is_closed = False
+        self.ends_s = math.inf
         self.rows = {}
         self.queue = DispatchQueue(ctx, self.rules, self._fail_request)
 
@@ -63,17 +66,20 @@
             problem = Problem(request_id, 404, NOT_RUN, detail, reason="no_route")
             self.ctx.queue_action(problem)
             return
-        service = table.next_service(route)
         limit_s = (
             route.timeout_s if timeout_s is None else min(timeout_s, route.timeout_s)
         )
+        if not route.idempotent and now_s + limit_s > self.ends_s:
+            detail = "this instance stops before the request must have ended"
+            self._refuse(request_id, "stopping", detail, self.rules.retry_after_s)
+            return
+        service = table.next_service(route)
         key = key if route.session_affinity else ""
         region = self.ctx.region_for(service, key, route.allowed_regions)
         if key and region:
             self.ctx.record_key(service, region, key, now_s)
-        row = ForwardRow(
-            request_id, route, service, region, key, now_s, now_s + limit_s
-        )
+        deadline_s = min(now_s + limit_s, self.ends_s)
+        row = ForwardRow(request_id, route, service, region, key, now_s, deadline_s)
         if attempts_before_hop is not None:
             row.has_hopped = True
             row.attempt_count = min(attempts_before_hop, route.max_attempts - 1)
@@ -302,6 +308,15 @@
 
     # --- ending -----------------------------------------------------------
 
+    def end_by(self, ends_s):
+        """Let each request, also a later one, end by a time, since the instance stops.
+
+        Its caller then gets a response instead of a connection that closes.
+        """
+        self.ends_s = ends_s
+        for row in self.rows.values():
+            row.deadline_s = min(row.deadline_s, ends_s)
+
     def _on_attempt_failed(self, row, now_s, reason, detail, retry_after_s=None):
         """Retry a request when that is safe, otherwise fail it."""
         attempt = row.attempt
@@ -347,9 +362,10 @@
             self._remove(row)
         else:
             status = 504 if row.may_have_run else 503
-            self._fail_request(
-                row, status, "deadline", "the deadline has passed", now_s
-            )
+            reason, detail = "deadline", "the deadline has passed"
+            if row.deadline_s >= self.ends_s:
+                reason, detail = "stopping", "this instance stops"
+            self._fail_request(row, status, reason, detail, now_s)
         self.queue.dispatch_waiting(row.service, now_s)
 
     def _fail_request(self, row, status, reason, detail, now_s, retry_after_s=None):
