--- a/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
@@ -11,6 +11,8 @@
 __all__ = ["ControlHost", "ControlRig"]
 
 TICK_S = 0.05
+# Delay before the control role of an instance is started again on its data folder.
+STORAGE_RETRY_DELAY_S = 0.5
 
 
 class ControlHost:
@@ -24,6 +26,8 @@
     Attributes:
         core: Core of the running process, or None while it is stopped.
         frozen: True while the process is suspended.
+        is_disk_full: True while saves fail; the control role then stops and is started
+            again after a delay.
         crash_at_sync: Step at which the next save crashes the process:
             ``before-sync``, ``after-sync``, or empty for none.
     """
@@ -35,6 +39,7 @@
         self.incarnation = incarnation
         self.core = None
         self.frozen = False
+        self.is_disk_full = False
         self.crash_at_sync = ""
         self._deferred = []
         self._start_count = 0
@@ -103,6 +108,10 @@
         while not (ready := self.core.pop_ready()).is_empty:
             if self._crashes_at("before-sync"):
                 return
+            if self.is_disk_full and ready.needs_sync:
+                self.kill()
+                self.rig.scheduler.after(STORAGE_RETRY_DELAY_S, self.start)
+                return
             self.disk.save(ready)
             if self._crashes_at("after-sync"):
                 return
