--- a/packages/snipebay-node/src/snipebay_node/action_loop.py
+++ b/packages/snipebay-node/src/snipebay_node/action_loop.py
@@ -1,5 +1,7 @@
 """Executes the actions of the protocol cores of one process."""
 
+import structlog
+from circuits import handler
 from snipebay_control.core import RAFT_MESSAGES
 from snipebay_model import messages
 
@@ -17,6 +19,8 @@
     messages.StatusRequest,
 )
 
+log = structlog.get_logger(__name__)
+
 
 class ActionLoop:
     """Base class of a node: runs its cores and delivers messages to itself.
@@ -71,6 +75,14 @@
         """Disable the control role after a failure of its storage."""
         raise NotImplementedError
 
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, exc, trace, handler=None, fevent=None):
+        log.error(
+            "unhandled exception in an event handler",
+            error=repr(exc),
+            trace="".join(trace),
+        )
+
     def _on_message(self, sender, body):
         self._handle(sender, body)
         self.run_actions()
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -6,7 +6,7 @@
 
 import numpy as np
 import structlog
-from circuits import BaseComponent, handler
+from circuits import BaseComponent
 from circuits.core.pollers import EPoll
 from snipebay_control.core import ControlConfig, ControlCore
 from snipebay_model import messages
@@ -235,14 +235,6 @@
         if self._shutdown_started_s is not None:
             self._continue_shutdown(now_s)
 
-    @handler("exception", channel="*")
-    def _on_exception(self, kind, exc, trace, handler=None, fevent=None):
-        log.error(
-            "unhandled exception in an event handler",
-            error=repr(exc),
-            trace="".join(trace),
-        )
-
     def _continue_shutdown(self, now_s):
         """Stop once the shutdown is complete or has timed out.
 
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -6,7 +6,7 @@
 
 import attrs
 import structlog
-from circuits import BaseComponent, handler
+from circuits import BaseComponent
 from circuits.core.pollers import EPoll
 from snipebay_control.core import ControlConfig, ControlCore
 from snipebay_control.membership import instance_id_of
@@ -123,7 +123,6 @@
         self._node_name = settings.internal
         self._shutdown_started_s = None
         self._storage_retry_at_s = 0.0
-        self._last_log_index = 0
         self._leader = ""
         self._members = {}
         self.bus = FrameBus(
@@ -172,10 +171,8 @@
         self._listen(address, server)
 
     def _log_index(self):
-        """Return the newest log index that the control role has applied."""
-        if self.control is not None:
-            self._last_log_index = self.control.applied_index
-        return self._last_log_index
+        """Return the log index that the control role has applied, 0 without it."""
+        return self.control.applied_index if self.control is not None else 0
 
     def _listen(self, address, server):
         self.servers.append(server)
@@ -332,14 +329,6 @@
     def _stop_schedule(self):
         return StopSchedule(self.settings.stop_timeout_s, self.entry is not None)
 
-    @handler("exception", channel="*")
-    def _on_exception(self, kind, exc, trace, handler=None, fevent=None):
-        log.error(
-            "unhandled exception in an event handler",
-            error=repr(exc),
-            trace="".join(trace),
-        )
-
     # --- start ------------------------------------------------------------
 
     def _start_control(self):
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -4,7 +4,11 @@
 import math
 
 from snipebay_policy.dispatch_queue import DispatchQueue
-from snipebay_policy.forward_reasons import problem_for, refusal_reason
+from snipebay_policy.forward_reasons import (
+    deadline_reason,
+    problem_for,
+    refusal_reason,
+)
 from snipebay_policy.forward_rows import ForwardRow, ForwardRules
 from snipebay_policy.work import NOT_RUN, Cancel, Probe, Problem, Relay
 
@@ -166,17 +170,13 @@
                     "backend server recovered", _backend_id(row.attempt.member)
                 )
             fleet.record_success(row.attempt.member)
-            self._record_service_time(row, now_s)
+            if row.attempt.found_slot:
+                elapsed_s = now_s - row.attempt.started_s
+                times = self.ctx.times(row.service)
+                times.record_unqueued(elapsed_s, row.attempt.tier)
         row.is_relayed = True
         self.ctx.queue_action(Relay(row.request_id, attempt_id))
 
-    def _record_service_time(self, row, now_s):
-        """Record the time to a response if the request did not wait for a slot."""
-        attempt = row.attempt
-        if attempt.found_slot:
-            elapsed_s = now_s - attempt.started_s
-            self.ctx.times(row.service).record_unqueued(elapsed_s, attempt.tier)
-
     def on_response_end(self, attempt_id, now_s):
         """Remove a request whose relayed response has ended."""
         row = self.queue.rows_by_attempt.get(attempt_id)
@@ -258,8 +258,9 @@
         """End requests past their deadline, retry stalled ones, dispatch the rest."""
         for row in [row for row in self.rows.values() if now_s >= row.deadline_s]:
             self._on_deadline(row, now_s)
-        for row in [row for row in self.rows.values() if self._is_stalled(row, now_s)]:
-            self._retry_elsewhere(row, now_s)
+        for row in list(self.rows.values()):
+            if row.is_stalled(now_s, self.ctx.times(row.service).stall_timeout_s):
+                self._retry_elsewhere(row, now_s)
         self._update_reach(now_s)
         self.queue.tick(now_s)
 
@@ -284,18 +285,6 @@
             for row in [r for r in self.rows.values() if r.may_hop]:
                 self._retry_elsewhere(row, now_s)
 
-    def _is_stalled(self, row, now_s):
-        """Return True when a retry is better than a further wait for the response."""
-        attempt = row.attempt
-        return (
-            attempt is not None
-            and row.route.idempotent
-            and not row.is_relayed
-            and attempt.member.is_unresponsive(now_s)
-            and now_s >= attempt.started_s + self.ctx.times(row.service).stall_timeout_s
-            and row.attempt_count < row.route.max_attempts
-        )
-
     def _retry_elsewhere(self, row, now_s):
         """Retry a request whose backend server sends nothing, within the budget."""
         attempt = row.attempt
@@ -362,10 +351,7 @@
             self._remove(row)
         else:
             status = 504 if row.may_have_run else 503
-            reason, detail = "deadline", "the deadline has passed"
-            if row.deadline_s >= self.ends_s:
-                reason, detail = "stopping", "this instance stops"
-            self._fail_request(row, status, reason, detail, now_s)
+            self._fail_request(row, status, *deadline_reason(row, self.ends_s), now_s)
         self.queue.dispatch_waiting(row.service, now_s)
 
     def _fail_request(self, row, status, reason, detail, now_s, retry_after_s=None):
--- a/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
@@ -2,7 +2,7 @@
 
 from snipebay_policy.work import NOT_RUN, UNKNOWN, Problem
 
-__all__ = ["dispatch_reason", "problem_for", "refusal_reason"]
+__all__ = ["deadline_reason", "dispatch_reason", "problem_for", "refusal_reason"]
 
 
 def dispatch_reason(row, choice, revision, now_s, limit=None):
@@ -50,6 +50,18 @@
     return fields
 
 
+def deadline_reason(row, ends_s):
+    """Return why a request ended at its deadline: the reason for logs, and a detail.
+
+    Args:
+        row: The request.
+        ends_s: When all requests end because the instance stops.
+    """
+    if row.deadline_s >= ends_s:
+        return "stopping", "this instance stops"
+    return "deadline", "the deadline has passed"
+
+
 def problem_for(row, status, reason, detail, retry_after_s, inputs):
     """Return the :class:`Problem` that the caller of a failed request receives."""
     outcome = UNKNOWN if row.may_have_run else NOT_RUN
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -96,6 +96,18 @@
     has_hopped: bool = False
     hop_count: int = 0
 
+    def is_stalled(self, now_s, stall_timeout_s):
+        """Return True when a retry is better than a further wait for the response."""
+        attempt = self.attempt
+        return (
+            attempt is not None
+            and self.route.idempotent
+            and not self.is_relayed
+            and attempt.member.is_unresponsive(now_s)
+            and now_s >= attempt.started_s + stall_timeout_s
+            and self.attempt_count < self.route.max_attempts
+        )
+
     @property
     def may_hop(self):
         """True for a running request that may be repeated through an instance."""
