Stop listening once earlier lookups have expired

Cause: `_continue_shutdown` closed the listening sockets only at the end.

Evidence: test_no_connection_is_accepted_once_earlier_lookups_have_expired failed before: the connection was established.

--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -244,6 +244,8 @@
         elapsed_s = now_s - self._shutdown_started_s
         lookups_expired = elapsed_s >= self.lookup_expiry_s
         if lookups_expired:
+            # A request accepted later might outlast the stop.
+            self.hub.stop_listening()
             self.http.stop()
         # Idle connections of callers are closed a moment after the stop of the server.
         delay_s = STOP_IDLE_DELAY_S if self.lookup_expiry_s else 0.0
@@ -251,7 +253,6 @@
         is_complete = are_closed and self.proxy.is_idle and self.entry.is_idle
         if is_complete or elapsed_s >= self.settings.stop_timeout_s:
             log.info("stopped", whole=is_complete, seconds=round(elapsed_s, 2))
-            self.hub.stop_listening()
             self.proxy.pool.close()
             self.bus.close()
             self.tracing.close()
