--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/python -m snipebay_testbed.routed_soak --seeds $(SEEDS)
 
 process-soak: $(VENV)/ready  ## check real processes under overlapping faults
-	PYTHONPATH=platform $(BIN)/python -m snipebay_soak --seeds $(SEEDS) --first $(FIRST)
+	PYTHONPATH=platform $(BIN)/python -m snipebay_soak --seeds $(SEEDS) --first $(FIRST) $(if $(OLDER),--older $(OLDER))
 
 bench: $(VENV)/ready  ## benchmark request routing in virtual time
 	$(BIN)/python -m snipebay_testbed.bench --seed $(SEED)
--- a/packages/snipebay-testbed/tests/test_landed_build.py
+++ b/packages/snipebay-testbed/tests/test_landed_build.py
@@ -1,18 +1,14 @@
 """Tests that this build and the landed one read each other's data."""
 
-import os
 import pathlib
 import subprocess
 import sys
-import tarfile
 import tempfile
 import unittest
 
-ROOT = pathlib.Path(__file__).parents[3]
+from snipebay_testbed.older_build import LANDED_COMMIT, Build, BuildError
+
 CHILD = pathlib.Path(__file__).with_name("landed_build.py")
-# The build that was landed before commands had a base and snapshots withdrawals.
-LANDED_COMMIT = "6018973"
-PACKAGES = ("model", "policy", "control")
 
 
 class TestLandedBuild(unittest.TestCase):
@@ -21,30 +17,17 @@
         folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(folder.cleanup)
         cls.folder = pathlib.Path(folder.name)
-        archive = cls.folder / "landed.tar"
-        found = subprocess.run(
-            ["git", "archive", "-o", archive, LANDED_COMMIT, "packages"],
-            cwd=ROOT,
-            capture_output=True,
-            text=True,
-        )
-        if found.returncode:
-            reason = f"no sources of commit {LANDED_COMMIT}: {found.stderr.strip()}"
-            print(f"skipped: {reason}", file=sys.stderr)
-            raise unittest.SkipTest(reason)
-        with tarfile.open(archive) as tar:
-            tar.extractall(cls.folder / "landed", filter="data")
-        cls.roots = {"landed": cls.folder / "landed", "present": ROOT}
+        try:
+            landed = Build.from_commit(LANDED_COMMIT, cls.folder)
+        except BuildError as exc:
+            print(f"skipped: {exc}", file=sys.stderr)
+            raise unittest.SkipTest(str(exc)) from exc
+        cls.builds = {"landed": landed, "present": Build()}
 
     def run_build(self, build, *arguments):
         """Run the child process with the sources of a build and return its output."""
-        sources = [
-            str(self.roots[build] / "packages" / f"snipebay-{name}" / "src")
-            for name in PACKAGES
-        ]
-        # The sources come before the packages that are installed from this tree.
-        env = {**os.environ, "PYTHONPATH": os.pathsep.join(sources)}
         command = [sys.executable, str(CHILD), *arguments]
+        env = self.builds[build].environment
         return subprocess.run(command, env=env, check=True, capture_output=True).stdout
 
     def exchange(self, writer, writes, reader, reads):
