--- a/packages/snipebay-control/tests/test_delayed_commands.py
+++ b/packages/snipebay-control/tests/test_delayed_commands.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import numpy as np
 from snipebay_control.core import ControlConfig
 from snipebay_control.order_guard import OrderGuard
 from snipebay_control.sessions import LeaseTiming
@@ -11,6 +12,9 @@
 
 START = Evacuate("a-1", True)
 END = Evacuate("a-1", False)
+RANDOM_SEEDS = range(20)
+# An order or an announcement may arrive this long after its sender gave it up.
+MAX_DELAY_S = 8.0
 
 
 def backend(**values):
@@ -124,6 +128,72 @@
         self.assertEqual(self.rig.elect().core.state.evacuated, set())
 
 
+class TestRandomOrders(unittest.TestCase):
+    """Orders are abandoned and come late, while instances are killed or suspended."""
+
+    STEPS = 25
+
+    def test_newest_acknowledged_order_holds(self):
+        for seed in RANDOM_SEEDS:
+            with self.subTest(seed=seed):
+                cfg = ControlConfig("", (), compact_entries=10)
+                rig = ControlRig(seed, 3, cfg=cfg, loss=0.01)
+                rig.elect()
+                self.give_orders(rig, np.random.default_rng(seed))
+
+    def give_orders(self, rig, rng):
+        is_evacuated = False
+        for _ in range(self.STEPS):
+            is_evacuated = bool(rng.random() < 0.5)
+            order = Evacuate("a-1", is_evacuated)
+            if rng.random() < 0.6:
+                self.abandon(rig, rng, order)
+            disturbed = self.disturb(rig, rng)
+            self.acknowledge(rig, rng, order)
+            if disturbed is not None:
+                disturbed.thaw() if disturbed.frozen else disturbed.start()
+            rig.scheduler.run_for(rng.uniform(0.0, 2.0))
+            rig.elect()
+            self.assert_holds(rig, is_evacuated)
+        rig.scheduler.run_for(MAX_DELAY_S + 1.0)
+        self.assert_holds(rig, is_evacuated)
+
+    def abandon(self, rig, rng, order):
+        """Connect to any instance; let the order reach control any time later."""
+        connected = rig.hosts[f"c{rng.integers(1, 4)}"]
+        base_index = connected.core.applied_index
+        rig.scheduler.after(
+            rng.uniform(0.0, MAX_DELAY_S),
+            lambda: rig.send(order, base_index=base_index),
+        )
+
+    def disturb(self, rig, rng):
+        """Kill or suspend an instance at times, and return it."""
+        if rng.random() < 0.6:
+            return None
+        host = rig.hosts[f"c{rng.integers(1, 4)}"]
+        (host.kill if rng.random() < 0.5 else host.freeze)()
+        return host
+
+    def acknowledge(self, rig, rng, order):
+        """Send an order through one instance after another until it succeeds."""
+        for _ in range(60):
+            running = [h for h in rig.hosts.values() if h.is_running and not h.frozen]
+            connected = running[int(rng.integers(len(running)))]
+            base_index = connected.core.applied_index
+            request_id = rig.send(order, base_index=base_index)
+            rig.scheduler.wait_for(lambda i=request_id: i in rig.outcomes, 1.0)
+            outcome = rig.outcomes.get(request_id)
+            if outcome is not None and outcome.code == "ok":
+                return
+            rig.scheduler.run_for(0.1)
+        self.fail(f"{order!r} is not acknowledged")
+
+    def assert_holds(self, rig, is_evacuated):
+        found = rig.elect().core.state.evacuated
+        self.assertEqual(found, {"a-1"} if is_evacuated else set())
+
+
 class TestDelayedAnnouncements(unittest.TestCase):
     """Guards against a backend server that is registered again after it has left."""
 
