--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -258,9 +258,8 @@
         """Return True for the last response before the connection closes.
 
         During a stop, or if the application asks for it, this is a response with no
-        request behind it. It is decided
-        when the response is written: while it is held, further requests may arrive
-        and be dispatched, which the close would cut.
+        request behind it. It is decided when the response is written: while it is
+        held, further requests may arrive and be dispatched, which the close would cut.
         """
         is_newest = self._pipeline[-1] is exchange and not self._rejection
         may_close = self.server.is_stopping or exchange.closes_connection
