--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -17,7 +17,6 @@
 __all__ = ["STOP_IDLE_DELAY_S", "HttpServer"]
 
 BODY_TIMEOUT_S = 30.0
-PIPELINE_LIMIT_BYTES = 64 * 1024
 # Limit on the requests of one connection that are handled concurrently.
 MAX_PIPELINED_REQUESTS = 16
 # Idle connections are closed this long after a planned stop begins: callers may just
