--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -4,11 +4,7 @@
 import math
 
 from snipebay_policy.dispatch_queue import DispatchQueue
-from snipebay_policy.forward_reasons import (
-    deadline_reason,
-    problem_for,
-    refusal_reason,
-)
+from snipebay_policy.forward_reasons import deadline_reason, problem_for, refusal_reason
 from snipebay_policy.forward_rows import ForwardRow, ForwardRules
 from snipebay_policy.work import NOT_RUN, Cancel, Probe, Problem, Relay
 
