Log each order of an operator, and which view ended an evacuation

Cause of the gap: of several events of a kind within a second only the first was logged with its revision, and no instance logged who had given an order. The record could not tell a lost order from an entry instance with an old view, and a refusal by a backend server that was passed on left no line at all. Starts and ends of evacuations are not folded and name the control instance that sent them. Both roles export the evacuated failure domains. Responses with a status by which callers know that a request has not run are always logged.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -1,6 +1,5 @@
 """Core of a control instance: Raft, the replicated state and the leases."""
 
-import attrs
 import msgspec
 from returns.result import Success
 from snipebay_model import messages
@@ -22,13 +21,14 @@
 
 from snipebay_control.admission import admission
 from snipebay_control.cluster_status import cluster_status
+from snipebay_control.config import ControlConfig
 from snipebay_control.delayed_commands import OUTDATING_KINDS, DelayedCommands
 from snipebay_control.entry_replies import EntryReplies
 from snipebay_control.joining import JoinProtocol
 from snipebay_control.membership import instance_id_of
-from snipebay_control.raft import Raft, RaftTiming
+from snipebay_control.raft import Raft
 from snipebay_control.rate_limit_board import RateLimitBoard
-from snipebay_control.sessions import LeaseTiming, Sessions
+from snipebay_control.sessions import Sessions
 from snipebay_control.state import ControlState
 from snipebay_control.telemetry import Telemetry
 from snipebay_control.update_pacing import UpdatePacer
@@ -49,47 +49,6 @@
 KEY_COUNT_INTERVAL_S = 0.5
 
 
-@attrs.frozen
-class ControlConfig:
-    """Settings of a control instance.
-
-    Attributes:
-        node: Name of this instance, ``id#incarnation``.
-        peers: Ids of all control instances, this one included; with
-            ``dynamic_membership`` only the seeds that are contacted first.
-        raft: Timing of Raft.
-        leases: Timing of the leases.
-        compact_entries: Number of entries that compaction is based on; the log is
-            compacted when it has more than twice as many.
-        compact_bytes: The log is also compacted when the applied entries have more
-            bytes: each change of a long traffic plan is an entry of a megabyte.
-        hello_interval_s: Interval between ``Hello`` messages of an instance
-            without members.
-        idle_clock_interval_s: Interval between clock commands while no
-            idempotency key is stored.
-        dynamic_membership: True if control instances beyond ``peers`` may join.
-        unreachable_timeout_s: With ``dynamic_membership``, time of missed
-            heartbeats after which a member is removed; longer than a machine
-            takes to restart.
-        initial_voters: Voters of the initial configuration. Each of them installs
-            it on an empty disk, so that any majority of them can form the group.
-            With ``dynamic_membership`` no unreachable voter is removed below
-            their number.
-    """
-
-    node: str
-    peers: tuple
-    raft: RaftTiming = RaftTiming()
-    leases: LeaseTiming = LeaseTiming()
-    compact_entries: int = 2_000
-    compact_bytes: int = 8 * 1024 * 1024
-    hello_interval_s: float = 0.2
-    idle_clock_interval_s: float = 60.0
-    dynamic_membership: bool = False
-    unreachable_timeout_s: float = 15.0
-    initial_voters: tuple = ()
-
-
 class ControlCore(EntryReplies):
     """Control instance without I/O: takes messages and time, returns work and messages.
 
@@ -313,10 +272,20 @@
         if outcome is None:
             index = self._propose_encoded(msg.kind, msg.data)
             if msg.kind in OUTDATING_KINDS:
-                self._delayed.record_proposed(decode_body(msg.kind, msg.data), index)
+                cmd = decode_body(msg.kind, msg.data)
+                self._delayed.record_proposed(cmd, index)
+                self.telemetry.record_order(
+                    "order proposed", cmd, index, base=msg.base_index, sender=sender
+                )
             pending_reply = (self.raft.term, sender, msg.request_id, self._now_s)
             self._pending_replies[index] = pending_reply
             return
+        if outcome.code == "outdated":
+            cmd = decode_body(msg.kind, msg.data)
+            index = self.raft.log.last_index
+            self.telemetry.record_order(
+                "order refused", cmd, index, base=msg.base_index, sender=sender
+            )
         reply = CommandReply(msg.request_id, outcome, self.leader_id)
         self._outbox.append((sender, reply))
 
@@ -363,7 +332,15 @@
             kind, data = msgspec.msgpack.decode(entry.data, type=COMMAND_TYPE)
             outcome = self.state.apply(kind, data)
             if kind in OUTDATING_KINDS:
-                self._delayed.record_applied(decode_body(kind, data), entry.index)
+                cmd = decode_body(kind, data)
+                self._delayed.record_applied(cmd, entry.index)
+                self.telemetry.record_order(
+                    "order applied",
+                    cmd,
+                    entry.index,
+                    term=entry.term,
+                    revision=outcome.revision,
+                )
             self._proposed_commands.discard((kind, data))
             if kind == "PutBackend" and self.raft.is_leader:
                 self._grant_backend(decode_body(kind, data).row)
--- a/packages/snipebay-node/src/snipebay_node/action_loop.py
+++ b/packages/snipebay-node/src/snipebay_node/action_loop.py
@@ -115,6 +115,9 @@
             self.metrics.commits.observe(elapsed_s)
         for event, subject in changes:
             self.changes.record(self.clock(), event, subject)
+        # A folded line would hide which of several orders took effect.
+        for event, fields in self.control.telemetry.pop_orders():
+            log.info(event, **fields)
         for target, body in self.control.pop_messages():
             had_actions = True
             self.send(target, body)
--- a/packages/snipebay-node/src/snipebay_node/change_log.py
+++ b/packages/snipebay-node/src/snipebay_node/change_log.py
@@ -6,6 +6,10 @@
 AGGREGATION_INTERVAL_S = 1.0
 # Further subjects of a combined line are only counted.
 MAX_LISTED_SUBJECTS = 8
+# Events that follow an order of an operator: few, and their order in time matters.
+UNFOLDED_EVENTS = frozenset(
+    ("failure domain evacuated", "failure domain evacuation ended")
+)
 
 
 class ChangeLog:
@@ -29,7 +33,8 @@
             subject: What changed.
             **fields: Inputs of the decision; an aggregated line omits them.
         """
-        if now_s < self._next_line_at_s.get(event, 0.0):
+        is_folded = event not in UNFOLDED_EVENTS
+        if is_folded and now_s < self._next_line_at_s.get(event, 0.0):
             self._pending.setdefault(event, []).append(subject)
             return
         self._next_line_at_s[event] = now_s + AGGREGATION_INTERVAL_S
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -21,6 +21,10 @@
 # be retried if the response is truncated. A larger response is streamed.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
 
+# Statuses by which callers know that a request has not run. No one else records those
+# that backend servers give.
+PROMISE_STATUSES = (408, 421, 429, 503)
+
 log = structlog.get_logger(__name__)
 
 
@@ -404,7 +408,10 @@
         is_retried = decision.get("attempt", 1) > 1
         self._log.record(
             now_s,
-            is_notable=outcome != "answered" or exceeds_target or is_retried,
+            is_notable=outcome != "answered"
+            or exceeds_target
+            or is_retried
+            or status in PROMISE_STATUSES,
             request=request.request_id,
             outcome=outcome,
             status=status,
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -37,6 +37,7 @@
         yield _gauge("view_age_seconds", "Time since control confirmed it.", age_s)
         reach = entry.reach
         yield _gauge("isolated", "1 while it reaches no server.", reach.is_isolated)
+        yield _evacuated_gauge("entry", entry.view.evacuated)
         others = len(entry.hop_table.isolated)
         yield _gauge("isolated_instances", "Instances that reach none.", others)
         slots = _service_gauge("slots", "Slots of backend servers in view.", "state")
@@ -93,10 +94,22 @@
         members.add_metric(("voter",), voters)
         members.add_metric(("learner",), learners)
         yield members
+        state = control.state
+        yield _gauge("state_revision", "Revision of the control state.", state.revision)
+        yield _evacuated_gauge("control", sorted(state.evacuated))
         rows = len(control.state.backends)
         yield _gauge("known_backends", "Backend servers with a lease.", rows)
 
 
+def _evacuated_gauge(role, domains):
+    gauge = GaugeMetricFamily(
+        f"snipebay_{role}_evacuated", "1 for each one.", labels=("domain",)
+    )
+    for domain in domains:
+        gauge.add_metric((domain,), 1)
+    return gauge
+
+
 def _gauge(name, doc, value):
     return GaugeMetricFamily(f"snipebay_{name}", doc, value=value)
 
--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -36,11 +36,13 @@
             established.
         on_drained: Called without arguments when the send buffer becomes empty.
         was_reset: True after a socket error or a failed connect.
+        peer: Address ``host:port`` of the other side of an accepted connection.
     """
 
-    def __init__(self, hub, sock, *, connecting=False):
+    def __init__(self, hub, sock, *, connecting=False, peer=""):
         self.hub = hub
         self.sock = sock
+        self.peer = peer
         self.is_open = True
         self.is_connecting = connecting
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
@@ -295,12 +297,12 @@
     def _accept(self, listener):
         for _ in range(LISTEN_BACKLOG):
             try:
-                sock, _ = listener.accept()
+                sock, (host, port, *_) = listener.accept()
             except OSError:
                 return
             sock.setblocking(False)
             _set_socket_options(sock)
-            stream = Stream(self, sock)
+            stream = Stream(self, sock, peer=f"{host}:{port}")
             self._streams[sock] = stream
             self.poller.addReader(self, sock)
             self._listeners[listener](stream)
--- a/packages/snipebay-node/tests/test_metrics.py
+++ b/packages/snipebay-node/tests/test_metrics.py
@@ -3,8 +3,9 @@
 import unittest
 
 from prometheus_client.parser import text_string_to_metric_families
+from snipebay_model.messages import Evacuate, RenewReply
 from snipebay_model.plan import Plan
-from snipebay_model.view import BackendRow, EntryRow, View
+from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
 from snipebay_node.change_log import (
     AGGREGATION_INTERVAL_S,
     MAX_LISTED_SUBJECTS,
@@ -44,6 +45,13 @@
         self.assertEqual(found["snipebay_wait_seconds_count", "s"], 1)
         self.assertNotIn(("snipebay_retries_total", "s"), found)
 
+    def test_evacuated_failure_domains_in_the_view(self):
+        delta = ViewDelta(1, 2, evacuated=("a-1",))
+        self.core.receive(
+            "c1", RenewReply("c1", True, quorum_revision=2, delta=delta), 0.0
+        )
+        self.assertEqual(values(self.metrics)["snipebay_entry_evacuated", "a-1"], 1)
+
     def test_unsafe_request_with_a_broken_connection(self):
         self.send_request("/u/x", "POST")
         self.backend_stream().abort()
@@ -153,6 +161,16 @@
             self.changes.record(1.0, event, "i1")
         self.assertEqual([event for event, _ in self.lines], ["joined", "gone"])
 
+    def test_each_end_of_an_evacuation_is_logged_with_its_revision(self):
+        for domain in ("a-1", "a-2"):
+            self.changes.record(
+                1.0, "failure domain evacuation ended", domain, revision=8
+            )
+        self.assertEqual(
+            [fields for _, fields in self.lines],
+            [{"subject": "a-1", "revision": 8}, {"subject": "a-2", "revision": 8}],
+        )
+
     def test_number_of_lines_is_bounded(self):
         for number in range(10_000):
             now_s = number * 0.01
@@ -192,6 +210,51 @@
         )
         self.assertEqual(view_changes(new, new), [])
 
+    def test_end_of_an_evacuation_names_revision_and_control_instance(self):
+        found = view_changes(View(7, evacuated=("a-1",)), View(8), "c2")
+        fields = {"revision": 8, "source": "c2"}
+        self.assertEqual(found, [("failure domain evacuation ended", "a-1", fields)])
+
+
+class TestOrderEvents(unittest.TestCase):
+    """Tells a lost order from an entry instance with an old view."""
+
+    def setUp(self):
+        self.rig = ControlRig(3)
+        self.leader = self.rig.elect().core
+
+    def events(self, core):
+        return [(event, f["evacuated"]) for event, f in core.telemetry.pop_orders()]
+
+    def test_leader_names_sender_base_and_index(self):
+        self.rig.call(Evacuate("a-1", True), base_index=3)
+        (_, proposed), (_, applied) = self.leader.telemetry.pop_orders()
+        self.assertEqual((proposed["base"], bool(proposed["sender"])), (3, True))
+        self.assertEqual(proposed["index"], applied["index"])
+        self.assertEqual(applied["revision"], self.leader.state.revision)
+
+    def test_all_control_instances_record_what_they_applied(self):
+        self.rig.call(Evacuate("a-1", True))
+        self.rig.scheduler.run_for(1.0)
+        for host in self.rig.hosts.values():
+            if host.core is not self.leader:
+                self.assertEqual(self.events(host.core), [("order applied", True)])
+
+    def test_refused_order_is_recorded(self):
+        self.rig.call(Evacuate("a-1", True))
+        self.rig.call(Evacuate("a-1", False), base_index=1)
+        self.assertEqual(self.events(self.leader)[-1], ("order refused", False))
+
+    def test_control_role_exports_the_evacuated_failure_domains(self):
+        self.rig.call(Evacuate("a-1", True))
+        metrics = NodeMetrics()
+        metrics.registry.register(
+            StateCollector(lambda: 0.0, lambda: None, lambda: self.leader)
+        )
+        found = values(metrics)
+        self.assertEqual(found["snipebay_control_evacuated", "a-1"], 1)
+        self.assertEqual(found["snipebay_state_revision",], self.leader.state.revision)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -299,7 +299,7 @@
             self.apply_key_counts(msg.key_counts)
         delta = self._read_delta(msg)
         if delta is not None and delta.base <= self.view.revision:
-            self._apply_delta(delta, now_s)
+            self._apply_delta(delta, now_s, sender)
         self.hop_table.update_isolated(msg.isolated)
         version = msg.rate_limits_version
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
@@ -314,7 +314,7 @@
             self.record_event("view change not readable", "view", error=str(exc))
             return None
 
-    def _apply_delta(self, delta, now_s):
+    def _apply_delta(self, delta, now_s, source):
         try:
             view = self.view.apply(delta)
         except ValueError as exc:
@@ -327,7 +327,7 @@
         is_new_plan = view.plan is not self.view.plan and view.plan is not None
         if is_new_plan:
             self.table = RouteTable(view.plan, self.table, self.row.entry_id)
-        for event, subject, fields in view_changes(self.view, view):
+        for event, subject, fields in view_changes(self.view, view, source):
             self.record_event(event, subject, **fields)
         self.view = view
         self.update_budgets()
--- a/packages/snipebay-policy/src/snipebay_policy/view_changes.py
+++ b/packages/snipebay-policy/src/snipebay_policy/view_changes.py
@@ -3,15 +3,17 @@
 __all__ = ["view_changes"]
 
 
-def view_changes(old, new):
+def view_changes(old, new, source=""):
     """Return triples of event, subject and fields, in a fixed order.
 
     Args:
         old: Previous view.
         new: Current view.
+        source: Control instance that sent it, or empty.
     """
     return [
         *_plan_changes(old, new),
+        *_evacuation_changes(old, new, source),
         *_backend_changes(old, new),
         *_entry_changes(old, new),
     ]
@@ -21,10 +23,14 @@
     if new.plan is not None and new.plan is not old.plan:
         version = new.plan.version
         yield "traffic plan in force", str(version), {"revision": new.revision}
+
+
+def _evacuation_changes(old, new, source):
+    fields = {"revision": new.revision, "source": source}
     for domain in sorted(set(new.evacuated) - set(old.evacuated)):
-        yield "failure domain evacuated", domain, {"revision": new.revision}
+        yield "failure domain evacuated", domain, fields
     for domain in sorted(set(old.evacuated) - set(new.evacuated)):
-        yield "failure domain evacuation ended", domain, {"revision": new.revision}
+        yield "failure domain evacuation ended", domain, fields
 
 
 def _backend_changes(old, new):
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -11,6 +11,7 @@
     Attributes:
         sent: Bytes written so far.
         has_peer_closed: True once the peer has closed its side.
+        peer: Address of the other side.
     """
 
     def __init__(self, *, connecting=False):
@@ -21,6 +22,7 @@
         self.is_congested = False
         self.was_reset = False
         self.has_peer_closed = False
+        self.peer = ""
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
 
     def write(self, data):
