--- a/packages/snipebay-node/tests/test_endless_bytes.py
+++ b/packages/snipebay-node/tests/test_endless_bytes.py
@@ -9,6 +9,66 @@
 HEAD = b"HTTP/1.1 200 OK\r\nId: 7\r\n"
 
 
+MAX_KEPT_BYTES = 256 * 1024
+
+
+class TestEndlessBodyWithoutReader(ForwarderCase):
+    """Guards against an instance that runs out of memory for one backend server."""
+
+    def feed(self, stream):
+        """Send a long body until it is no longer read; return the bytes taken."""
+        stream.on_data(HEAD + b"\r\n")
+        for count in range(100 * MAX_CHUNKS):
+            if not stream.is_open or stream.is_paused:
+                return count * len(CHUNK)
+            stream.on_data(CHUNK)
+        return 100 * MAX_CHUNKS * len(CHUNK)
+
+    def kept_bytes(self):
+        responses = self.forwarder._responses.values()
+        return sum(len(response.buffered) for response in responses)
+
+    def test_caller_of_a_running_request_has_left(self):
+        self.send_request("/u/x", "POST", "Content-Length: 0\r\n")
+        stream = self.backend_stream()
+        self.caller.abort()
+        self.feed(stream)
+        self.assertLess(self.kept_bytes(), MAX_KEPT_BYTES)
+        self.now_s = 2.5
+        self.core.tick(self.now_s)
+        self.run_actions()
+        self.assertFalse(stream.is_open)
+
+    def test_caller_has_left_in_the_middle_of_the_response(self):
+        self.send_request("/u/x", "POST", "Content-Length: 0\r\n")
+        stream = self.backend_stream()
+        stream.on_data(HEAD + b"\r\n" + CHUNK)
+        self.caller.abort()
+        self.feed(stream)
+        self.assertLess(self.kept_bytes(), MAX_KEPT_BYTES)
+
+    def test_response_is_held_behind_an_earlier_one(self):
+        self.send_request("/a/1")
+        self.send_request("/a/2")
+        first, second = map(self.backend_stream, (0, 1))
+        self.assertLess(self.feed(second), MAX_KEPT_BYTES)
+        first.on_data(RESPONSE)
+        self.assertFalse(second.is_paused)
+        self.assertEqual(self.response.count(b"HTTP/1.1 200"), 2)
+
+    def test_drained_caller_gets_the_rest_of_an_earlier_response(self):
+        self.send_request("/a/1")
+        first = self.backend_stream()
+        first.on_data(HEAD + b"\r\n" + CHUNK * 10)
+        self.caller.is_congested = True
+        first.on_data(CHUNK)
+        self.assertTrue(first.is_paused)
+        self.send_request("/a/2")
+        self.caller.is_congested = False
+        self.caller.on_drained()
+        self.assertFalse(first.is_paused)
+
+
 class TestEndlessBytes(ForwarderCase):
     """A backend server that never ends a head or body must not hold on to a request."""
 
--- a/packages/snipebay-node/tests/test_faulty_backends.py
+++ b/packages/snipebay-node/tests/test_faulty_backends.py
@@ -127,6 +127,60 @@
         self.assert_unknown()
 
 
+class TestUnstatedRefusal(FaultyCase):
+    """Guards against a status that promises more than the backend server said."""
+
+    STATUSES = (408, 429, 503)
+
+    def answer(self, status, method, headers=b"", end=b"Content-Length: 0\r\n\r\n"):
+        self.ask(1, "/u/x" if method == "POST" else "/a/x", method)
+        head = b"HTTP/1.1 %d X\r\nId: 1\r\nSigned: yes\r\n" % status
+        self.backend_stream().on_data(head + headers + end)
+
+    def test_status_is_not_passed_on_for_a_request_that_may_have_run(self):
+        for status in self.STATUSES:
+            with self.subTest(status=status):
+                self.setUp()
+                self.answer(status, "POST")
+                self.assert_unknown()
+                self.assertNotIn(b"signed", self.response.lower())
+                self.assertNotIn(b"retry-after", self.response.lower())
+                self.assertEqual(len(self.hub.streams), 1)
+                self.assertTrue(self.forwarder.is_idle)
+
+    def test_long_body_does_not_delay_the_response(self):
+        self.answer(503, "POST", end=b"\r\n" + b"x" * 200_000)
+        self.assert_unknown()
+        self.assertFalse(self.backend_stream().is_open)
+
+    def test_stated_refusal_is_retried(self):
+        self.answer(503, "POST", b"Not-Run: 1\r\n")
+        self.backend_stream().on_data(response(1))
+        self.assertIn(b"200 ", self.response)
+
+    def test_other_statuses_are_passed_on(self):
+        for status in (400, 409, 500, 502, 504):
+            with self.subTest(status=status):
+                self.setUp()
+                self.answer(status, "POST")
+                self.assertIn(b"HTTP/1.1 %d" % status, self.response)
+                self.assertIn(b"signed: yes", self.response.lower())
+
+    def test_idempotent_request_gets_the_status(self):
+        self.answer(429, "GET")
+        self.assertIn(b"HTTP/1.1 429", self.response)
+
+
+class TestRepeatedMisdirection(FaultyCase):
+    """A 421 is repeated while the request runs at the address's new owner."""
+
+    def test_connection_is_not_used_again(self):
+        self.ask(1)
+        stream = self.backend_stream()
+        stream.on_data(b"HTTP/1.1 421 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+        self.assertFalse(stream.is_open)
+
+
 class TestCutResponse(FaultyCase):
     """A connection ends at each byte of a response to an unsafe request."""
 
--- a/packages/snipebay-node/tests/test_hops.py
+++ b/packages/snipebay-node/tests/test_hops.py
@@ -50,6 +50,23 @@
         self.assertIn(b"not-run", self.response)
         self.assertEqual(self.hub.streams, [])
 
+    def test_status_of_a_backend_server_behind_an_instance_is_no_promise(self):
+        self.send_request("/u/x", "POST", "Content-Length: 0\r\n")
+        self.backend_stream().on_data(
+            b"HTTP/1.1 503 X\r\nId: 7\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertTrue(self.response.startswith(b"HTTP/1.1 502"))
+
+    def test_outcome_that_a_backend_server_claims_is_not_passed_on(self):
+        self.core.reach.state = Reach.REACHED
+        self.send_request("/u/x", "POST", "Content-Length: 0\r\nSnipebay-Hop: 1\r\n")
+        self.backend_stream().on_data(
+            b"HTTP/1.1 500 X\r\nId: 7\r\nSnipebay-Outcome: not-run\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        self.assertTrue(self.response.startswith(b"HTTP/1.1 500"))
+        self.assertNotIn(b"not-run", self.response)
+
     def test_hop_header_does_not_reach_backend_servers(self):
         self.core.reach.state = Reach.REACHED
         self.send_request(extra="Snipebay-Hop: 0\r\n")
--- a/packages/snipebay-node/tests/test_streams.py
+++ b/packages/snipebay-node/tests/test_streams.py
@@ -4,7 +4,9 @@
 import unittest
 
 from circuits.core.pollers import EPoll
+from snipebay_node.http_server import HttpServer
 from snipebay_node.streams import Stream, StreamHub
+from snipebay_testbed.http_case import Application
 
 
 class TestPeerClosed(unittest.TestCase):
@@ -28,6 +30,54 @@
         self.assertTrue(self.stream.has_peer_closed)
 
 
+class TestConnectionAge(unittest.TestCase):
+    """Guards against an abandoned order that passes for a new one.
+
+    A process that was suspended may apply newer log entries before it accepts the
+    connection that has waited in its kernel.
+    """
+
+    def setUp(self):
+        self.index = 5
+        self.app = Application()
+        self.hub = StreamHub(EPoll())
+        self.addCleanup(self.hub.stop_listening)
+        self.server = HttpServer(self.app, lambda: 0.0, log_index=lambda: self.index)
+        address = self.hub.listen("127.0.0.1:0", self.server.accept)
+        self.tick()
+        self.caller = socket.create_connection(address)
+        self.addCleanup(self.caller.close)
+
+    def tick(self):
+        self.hub.tick(0.0)
+        self.server.tick(0.0)
+
+    def accepted_index(self):
+        listener = next(iter(self.hub._listeners))
+        self.hub._on_read(listener)
+        (stream,) = self.hub._streams.values()
+        self.addCleanup(stream.abort)
+        self.caller.sendall(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+        while not stream.handle_read():
+            pass
+        return self.app.exchanges[-1].log_index
+
+    def test_entries_applied_before_the_accept_do_not_count(self):
+        self.index = 9
+        self.assertEqual(self.accepted_index(), 5)
+
+    def test_entries_applied_before_the_connection_count(self):
+        listener = next(iter(self.hub._listeners))
+        self.hub._on_read(listener)
+        for stream in list(self.hub._streams.values()):
+            stream.abort()
+        self.index = 9
+        self.tick()
+        self.caller = socket.create_connection(listener.getsockname())
+        self.addCleanup(self.caller.close)
+        self.assertEqual(self.accepted_index(), 9)
+
+
 class TestConnect(unittest.TestCase):
     def test_address_that_can_not_be_used_is_a_failed_connection(self):
         # Rows may come from another writer, or from a build with other checks.
@@ -48,3 +98,7 @@
         self.addCleanup(stream.abort)
         self.assertTrue(stream.is_open)
         listener.accept()[0].close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -12,6 +12,7 @@
         sent: Bytes written so far.
         has_peer_closed: True once the peer has closed its side.
         peer: Address of the other side.
+        is_paused: True while its owner does not read.
     """
 
     def __init__(self, *, connecting=False):
@@ -23,6 +24,7 @@
         self.was_reset = False
         self.has_peer_closed = False
         self.peer = ""
+        self.is_paused = False
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
 
     def write(self, data):
@@ -43,10 +45,10 @@
                 self.on_closed()
 
     def pause(self):
-        pass
+        self.is_paused = True
 
     def resume(self):
-        pass
+        self.is_paused = False
 
 
 class FakeHub:
