Take the age of an order from before its connection was accepted

What callers saw: requests in an evacuated failure domain, since the evacuation had been undone by an order that its operator had given up. Cause: the base of an order, by which the leader tells a late order from a new one, was read when its connection was accepted. A control instance that was suspended may apply newer log entries first: its peers' connections became readable before the caller's. The late order then passed for a new one unless its caller had closed the connection. Change: each tick accepts all waiting connections and only then takes the log index for those that come later, so it is never above the index at the time of the connection. It is not updated while connections can't be accepted, which is logged now. RoutedSettings got a module of its own.

--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -98,7 +98,7 @@
 
     @property
     def log_index(self):
-        """Log index applied here when the caller connected, -1 if unknown."""
+        """Log index applied here at least when the caller connected, -1 if unknown."""
         return self.connection.log_index
 
     @property
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -36,6 +36,10 @@
         on_response: Called with the exchange, its status and the problem detail
             when a response starts.
         log_index: Function returning the log index that this instance has applied.
+
+    Attributes:
+        known_index: That index when no connection waited to be accepted, which is a
+            lower bound for connections that are accepted later.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         self.limits = limits
         self.on_response = on_response
         self.log_index = log_index
+        self.known_index = log_index()
         self.connections = set()
         self.is_stopping = False
         self._ids = itertools.count(1)
@@ -59,6 +64,10 @@
         """Start serving HTTP on a new stream."""
         self.connections.add(_Connection(self, stream))
 
+    def note_all_accepted(self):
+        """Update the known index; no connection must be waiting to be accepted."""
+        self.known_index = self.log_index()
+
     def next_request_id(self):
         return next(self._ids)
 
@@ -81,14 +90,15 @@
     """One HTTP connection; parses requests and orders the responses.
 
     Attributes:
-        log_index: Log index that this instance had applied when it accepted the
-            connection, -1 if unknown.
+        log_index: Log index that this instance had at least applied when the caller
+            connected, -1 if unknown. A process that was suspended may apply newer
+            entries before it accepts a connection that has waited in its kernel.
     """
 
     def __init__(self, server, stream):
         self.server = server
         self.stream = stream
-        self.log_index = server.log_index()
+        self.log_index = server.known_index
         self._parser = self._new_parser()
         self._receiving = None
         self._pipeline = collections.deque()
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -14,7 +14,7 @@
 from snipebay_control.sessions import LeaseTiming
 from snipebay_model import messages
 from snipebay_model.view import EntryRow
-from snipebay_policy.routed import RoutedConfig, RoutedCore
+from snipebay_policy.routed import RoutedCore
 from snipebay_policy.work import Send
 
 from snipebay_node.action_loop import (
@@ -26,7 +26,6 @@
 from snipebay_node.control_client import ControlClient
 from snipebay_node.forwarder import Forwarder
 from snipebay_node.frames import FrameBus
-from snipebay_node.header_names import HeaderNames
 from snipebay_node.http_server import HttpServer
 from snipebay_node.metrics import NodeMetrics
 from snipebay_node.state_collector import StateCollector
@@ -35,7 +34,7 @@
 from snipebay_node.streams import StreamHub
 from snipebay_node.ticker import Ticker
 
-__all__ = ["RoutedNode", "RoutedSettings"]
+__all__ = ["RoutedNode"]
 
 # Interval of the periodic work while requests wait for a slot, or with the control
 # role, and at other times, when only deadlines and renewals are due.
@@ -54,45 +53,6 @@
 log = structlog.get_logger(__name__)
 
 
-@attrs.frozen
-class RoutedSettings:
-    """Validated settings of one instance.
-
-    Attributes:
-        name: Display name.
-        region: Region of the instance.
-        domain: Failure domain of the instance.
-        internal: ``host:port`` to listen on for other instances; also the id of this
-            instance.
-        seeds: Internal addresses of the control instances to contact first.
-        callers: ``host:port`` to listen on for callers, or empty if the instance has
-            no entry role.
-        data: Data folder, or empty if the instance has no control role.
-        may_bootstrap: True if the seeds may bootstrap a new control group, when the
-            system starts for the first time.
-        stop_timeout_s: Maximum duration of a graceful shutdown.
-        entry_lease_s: Lease duration of an entry instance.
-        backend_lease_s: Lease duration of a backend server, which announcements renew.
-        routed: Function from the row of this instance to the settings of the routed
-            core.
-        header_names: Header names of callers and backend servers.
-    """
-
-    name: str
-    region: str
-    domain: str
-    internal: str
-    seeds: tuple
-    callers: str = ""
-    data: str = ""
-    may_bootstrap: bool = False
-    stop_timeout_s: float = 30.0
-    entry_lease_s: float = 3.0
-    backend_lease_s: float = 6.0
-    routed: object = RoutedConfig
-    header_names: HeaderNames = HeaderNames()
-
-
 class RoutedNode(ActionLoop, BaseComponent):
     """Runs the control and entry roles of one instance.
 
@@ -271,6 +231,9 @@
 
     def _on_tick(self, now_s):
         if self.control is not None:
+            if self.hub.accept_waiting():
+                for server in self.servers:
+                    server.note_all_accepted()
             self.control.tick(now_s)
             self._update_leader()
         elif self.settings.data and now_s >= self._storage_retry_at_s:
--- /dev/null
+++ b/packages/snipebay-node/src/snipebay_node/routed_settings.py
@@ -0,0 +1,47 @@
+"""Settings of a node that forwards by routes."""
+
+import attrs
+from snipebay_policy.routed import RoutedConfig
+
+from snipebay_node.header_names import HeaderNames
+
+__all__ = ["RoutedSettings"]
+
+
+@attrs.frozen
+class RoutedSettings:
+    """Validated settings of one instance.
+
+    Attributes:
+        name: Display name.
+        region: Region of the instance.
+        domain: Failure domain of the instance.
+        internal: ``host:port`` to listen on for other instances; also the id of this
+            instance.
+        seeds: Internal addresses of the control instances to contact first.
+        callers: ``host:port`` to listen on for callers, or empty if the instance has
+            no entry role.
+        data: Data folder, or empty if the instance has no control role.
+        may_bootstrap: True if the seeds may bootstrap a new control group, when the
+            system starts for the first time.
+        stop_timeout_s: Maximum duration of a graceful shutdown.
+        entry_lease_s: Lease duration of an entry instance.
+        backend_lease_s: Lease duration of a backend server, which announcements renew.
+        routed: Function from the row of this instance to the settings of the routed
+            core.
+        header_names: Header names of callers and backend servers.
+    """
+
+    name: str
+    region: str
+    domain: str
+    internal: str
+    seeds: tuple
+    callers: str = ""
+    data: str = ""
+    may_bootstrap: bool = False
+    stop_timeout_s: float = 30.0
+    entry_lease_s: float = 3.0
+    backend_lease_s: float = 6.0
+    routed: object = RoutedConfig
+    header_names: HeaderNames = HeaderNames()
--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -242,6 +242,11 @@
         self.poller.addReader(self, stream.sock)
         self._lingering[stream.sock] = time.monotonic() + LINGER_TIMEOUT_S
 
+    def accept_waiting(self):
+        """Accept connections that wait in the kernel; return True if none is left."""
+        results = [self._accept(listener) for listener in list(self._listeners)]
+        return all(results)
+
     def tick(self, now_s):
         """Close lingering connections whose timeout has expired."""
         for sock, deadline_s in list(self._lingering.items()):
@@ -295,17 +300,22 @@
             self._close_lingering(sock)
 
     def _accept(self, listener):
+        """Accept waiting connections; return True if none is left."""
         for _ in range(LISTEN_BACKLOG):
             try:
                 sock, (host, port, *_) = listener.accept()
-            except OSError:
-                return
+            except BlockingIOError:
+                return True
+            except OSError as exc:
+                log.warning("connection not accepted", error=str(exc))
+                return False
             sock.setblocking(False)
             _set_socket_options(sock)
             stream = Stream(self, sock, peer=f"{host}:{port}")
             self._streams[sock] = stream
             self.poller.addReader(self, sock)
             self._listeners[listener](stream)
+        return False
 
 
 def _start_connecting(address):
--- a/packages/snipebay-node/tests/test_streams.py
+++ b/packages/snipebay-node/tests/test_streams.py
@@ -49,8 +49,8 @@
         self.addCleanup(self.caller.close)
 
     def tick(self):
-        self.hub.tick(0.0)
-        self.server.tick(0.0)
+        self.assertTrue(self.hub.accept_waiting())
+        self.server.note_all_accepted()
 
     def accepted_index(self):
         listener = next(iter(self.hub._listeners))
