Don't pass on a refusal that may come after the request has run

What callers saw: 503 for a non-idempotent request, by which they know that it has not run and never will, and it had run (REFUSED). Cause: a status of a backend server was passed on unchanged. 408, 429 and 503 promise to callers what only the not-run header states. Weighed: the platform wants statuses unchanged, and says that no response without the header means that the request has not run. A wrong promise makes callers run it twice; an honest 502 costs them a status. Change: for a request that isn't idempotent such a response ends the attempt; the caller gets 502, outcome unknown, without the backend server's headers, reason unstated_refusal. The same behind another instance, also one of an older build that passes the status on. Idempotent requests get the status as it is. BackendReports was split off ForwardSystem.

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -2,7 +2,14 @@
 
 import attrs
 import structlog
-from snipebay_policy.work import Cancel, Dispatch, Probe, Problem, Relay
+from snipebay_policy.work import (
+    PROMISE_STATUSES,
+    Cancel,
+    Dispatch,
+    Probe,
+    Problem,
+    Relay,
+)
 
 from snipebay_node import response_headers
 from snipebay_node.header_names import HeaderNames
@@ -21,10 +28,6 @@
 # be retried if the response is truncated. A larger response is streamed.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
 
-# Statuses by which callers know that a request has not run. No one else records those
-# that backend servers give.
-PROMISE_STATUSES = (408, 421, 429, 503)
-
 log = structlog.get_logger(__name__)
 
 
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
@@ -0,0 +1,36 @@
+"""What backend servers report about themselves in the heads of their responses."""
+
+__all__ = ["BackendReports"]
+
+
+class BackendReports:
+    """Base class of a system that forwards requests.
+
+    A subclass must have the attributes of :class:`ForwardSystem` that are used here.
+    """
+
+    def _row_at_backend(self, attempt_id):
+        """Return the request of an attempt that did not go through an instance."""
+        row = self.queue.rows_by_attempt.get(attempt_id)
+        if row is None or row.attempt is None or row.attempt.is_hop:
+            return None
+        return row
+
+    def on_load_report(self, attempt_id, running, waiting, now_s):
+        """Record the load that a backend server reported."""
+        row = self._row_at_backend(attempt_id)
+        if row is not None:
+            row.attempt.member.update_load(running, waiting, now_s)
+
+    def on_rate_limit(self, attempt_id, per_s, now_s):
+        """Record the rate limit that a response named, None if it named none."""
+        row = self._row_at_backend(attempt_id)
+        if row is not None:
+            self.ctx.rate_limits.record(row.attempt.member.row, per_s, now_s)
+
+    def on_invalid_rate_limit(self, attempt_id, detail):
+        """Log a rate limit that can't be read."""
+        row = self._row_at_backend(attempt_id)
+        if row is not None:
+            backend_id = row.attempt.member.row.backend_id
+            self.ctx.record_event("invalid rate limit", backend_id, detail=detail)
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -3,15 +3,28 @@
 import collections
 import math
 
+from snipebay_policy.backend_reports import BackendReports
 from snipebay_policy.dispatch_queue import DispatchQueue
-from snipebay_policy.forward_reasons import deadline_reason, problem_for, refusal_reason
+from snipebay_policy.forward_reasons import (
+    deadline_reason,
+    problem_for,
+    refusal_reason,
+    unstated_refusal_detail,
+)
 from snipebay_policy.forward_rows import ForwardRow, ForwardRules
-from snipebay_policy.work import NOT_RUN, Cancel, Probe, Problem, Relay
+from snipebay_policy.work import (
+    NOT_RUN,
+    PROMISE_STATUSES,
+    Cancel,
+    Probe,
+    Problem,
+    Relay,
+)
 
 __all__ = ["ForwardSystem"]
 
 
-class ForwardSystem:
+class ForwardSystem(BackendReports):
     """Admits, dispatches, retries and refuses requests.
 
     Args:
@@ -117,32 +130,6 @@
         row.attempt.is_written = True
         return True
 
-    def _row_at_backend(self, attempt_id):
-        """Return the request of an attempt that did not go through an instance."""
-        row = self.queue.rows_by_attempt.get(attempt_id)
-        if row is None or row.attempt is None or row.attempt.is_hop:
-            return None
-        return row
-
-    def on_load_report(self, attempt_id, running, waiting, now_s):
-        """Record the load that a backend server reported."""
-        row = self._row_at_backend(attempt_id)
-        if row is not None:
-            row.attempt.member.update_load(running, waiting, now_s)
-
-    def on_rate_limit(self, attempt_id, per_s, now_s):
-        """Record the rate limit that a response named, None if it named none."""
-        row = self._row_at_backend(attempt_id)
-        if row is not None:
-            self.ctx.rate_limits.record(row.attempt.member.row, per_s, now_s)
-
-    def on_invalid_rate_limit(self, attempt_id, detail):
-        """Log a rate limit that can't be read."""
-        row = self._row_at_backend(attempt_id)
-        if row is not None:
-            backend_id = _backend_id(row.attempt.member)
-            self.ctx.record_event("invalid rate limit", backend_id, detail=detail)
-
     def on_response(self, attempt_id, status, now_s):
         """Handle a complete response, or the head of a streamed one: relay or retry."""
         row = self.queue.rows_by_attempt.get(attempt_id)
@@ -170,9 +157,23 @@
                 elapsed_s = now_s - row.attempt.started_s
                 times = self.ctx.times(row.service)
                 times.record_unqueued(elapsed_s, row.attempt.tier)
+        if status in PROMISE_STATUSES and not (row.route.idempotent or row.is_relayed):
+            self._fail_unstated_refusal(row, status, now_s)
+            return
         row.is_relayed = True
         self.ctx.queue_action(Relay(row.request_id, attempt_id))
 
+    def _fail_unstated_refusal(self, row, status, now_s):
+        """Fail a request that got a refusal which doesn't say that it has not run.
+
+        Its caller would take the status for a promise, and send the request again.
+        """
+        self.ctx.queue_action(Cancel(row.attempt.attempt_id))
+        row.may_have_run = True
+        detail = unstated_refusal_detail(status)
+        self._fail_request(row, 502, "unstated_refusal", detail, now_s)
+        self.queue.dispatch_waiting(row.service, now_s)
+
     def on_response_end(self, attempt_id, now_s):
         """Remove a request whose relayed response has ended."""
         row = self.queue.rows_by_attempt.get(attempt_id)
--- a/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
@@ -2,7 +2,13 @@
 
 from snipebay_policy.work import NOT_RUN, UNKNOWN, Problem
 
-__all__ = ["deadline_reason", "dispatch_reason", "problem_for", "refusal_reason"]
+__all__ = [
+    "deadline_reason",
+    "dispatch_reason",
+    "problem_for",
+    "refusal_reason",
+    "unstated_refusal_detail",
+]
 
 
 def dispatch_reason(row, choice, revision, now_s, limit=None):
@@ -62,6 +68,11 @@
     return "deadline", "the deadline has passed"
 
 
+def unstated_refusal_detail(status):
+    """Return the detail for a refusal that may come after the request has run."""
+    return f"the backend server answered {status} and doesn't say that it has not run"
+
+
 def problem_for(row, status, reason, detail, retry_after_s, inputs):
     """Return the :class:`Problem` that the caller of a failed request receives."""
     outcome = UNKNOWN if row.may_have_run else NOT_RUN
--- a/packages/snipebay-policy/src/snipebay_policy/work.py
+++ b/packages/snipebay-policy/src/snipebay_policy/work.py
@@ -20,6 +20,8 @@
 
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
+# Statuses by which callers of routed requests know that one has not run and never will.
+PROMISE_STATUSES = (408, 421, 429, 503)
 
 
 @attrs.frozen
