Close the connection of a misdirected request

What callers saw: nothing yet; found while looking for the way of REFUSED. Cause: a response is told from a late one by its request's id. After a 421 the same request may go to the same address, to the backend server that has it now, over the connection on which the 421 came; a repeated 421 would then be believed while the request runs. Change: such a connection is not used again. A request is sent to no address twice otherwise, as its backend servers are excluded from its retries. Test: TestRepeatedMisdirection failed before.

--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -396,9 +396,16 @@
         is_ended = (
             self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
         )
+        # A 421 that is repeated would be believed when its request comes once more, to
+        # the backend server that has the address now.
+        is_misdirected = self._response.status_code == MISDIRECTED_REQUEST
         # Trailing bytes would be parsed as the response to the next request.
+        has_trailing_bytes = bool(self.parser.trailing_data[0])
         is_reusable = (
-            is_ended and self._is_identified and not self.parser.trailing_data[0]
+            is_ended
+            and self._is_identified
+            and not is_misdirected
+            and not has_trailing_bytes
         )
         if is_reusable and self.stream.is_open:
             self.parser.start_next_cycle()
