Don't pass on the outcome that a backend server claims

What callers saw: nothing yet; found while looking for the way of REFUSED. Cause: instances tell callers and each other in a header whether a request has run. A backend server that sends this header was passed on; the instance that had sent the request through another one would have believed it, and repeated a request that may have run. Behind another instance it is that one's own.

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -77,10 +77,11 @@
 
 @attrs.frozen
 class _Attempt:
-    """Request and service of an attempt in progress."""
+    """Request, service and kind of an attempt in progress."""
 
     request_id: int
     service: str
+    is_hop: bool = False
 
 
 class Forwarder:
@@ -187,7 +188,10 @@
             return
         exchange = request.exchange
         decision = request.decision = action.reason
-        self._attempts[action.attempt_id] = _Attempt(action.request_id, request.service)
+        is_hop = action.attempts_before_hop is not None
+        self._attempts[action.attempt_id] = _Attempt(
+            action.request_id, request.service, is_hop
+        )
         self.metrics.attempt_started(
             request.service, decision["attempt"], decision["waited_s"]
         )
@@ -201,7 +205,7 @@
                 self._headers(exchange, action, remaining_ms),
                 bytes(exchange.body),
                 request.request_id.encode("latin-1"),
-                is_hop=action.attempts_before_hop is not None,
+                is_hop=is_hop,
             )
         )
 
@@ -238,7 +242,11 @@
         if request is None or response is None:
             return
         request.relayed_attempt_id = action.attempt_id
-        request.exchange.start(response.status, strip_hop_headers(response.headers))
+        headers = strip_hop_headers(response.headers)
+        if not self._attempts[action.attempt_id].is_hop:
+            # Only instances say this; another one would believe it.
+            headers = [h for h in headers if h[0] != self.header_names.outcome]
+        request.exchange.start(response.status, headers)
         request.exchange.write(bytes(response.buffered))
         response.buffered.clear()
 
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -185,7 +185,8 @@
             return
         request.relayed_attempt_id = action.attempt_id
         status, headers = request.response_heads[action.attempt_id]
-        forwarded = [(n, v) for n, v in strip_hop_headers(headers) if n != b"server"]
+        replaced = (b"server", self.pool.header_names.outcome)
+        forwarded = [h for h in strip_hop_headers(headers) if h[0] not in replaced]
         request.exchange.start(status, [*forwarded, VIA])
 
     def _replay(self, action):
