Keep no body for a caller that has left

What callers saw: requests cut because their instance had run out of memory. Cause: a request that isn't idempotent keeps running when its caller leaves, and its response was collected without a bound until the deadline. Change: the body is discarded; after 1 MiB the rest is left unread, so that it takes no processor time either, and the deadline closes the connection. Shorter ones are read to their end, since closing could stop the backend server. The state of requests in progress got a module of its own. Tests: two of TestEndlessBodyWithoutReader failed before (50 MB kept).

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -1,6 +1,5 @@
 """Forwards requests of callers to backend servers by the configured routes."""
 
-import attrs
 import structlog
 from snipebay_policy.work import (
     PROMISE_STATUSES,
@@ -12,6 +11,7 @@
 )
 
 from snipebay_node import response_headers
+from snipebay_node.active_requests import ActiveRequest, Attempt, Response
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.log_sink import RequestLog
 from snipebay_node.upstream import (
@@ -27,63 +27,13 @@
 # A response up to this size is relayed once it is complete, so that the request can
 # be retried if the response is truncated. A larger response is streamed.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
+# A response up to about this size is read to its end after its caller has left, so that
+# a backend server can complete a request that must not be cancelled.
+MAX_DISCARDED_RESPONSE_BYTES = 1024 * 1024
 
 log = structlog.get_logger(__name__)
 
 
-@attrs.define
-class _Response:
-    """The response to an attempt, as far as it has been received.
-
-    Attributes:
-        status: HTTP status.
-        headers: Pairs of name and value, as bytes.
-        buffered: Body bytes received but not yet relayed.
-        is_reported: True once the core was informed of the response.
-    """
-
-    status: int
-    headers: list
-    buffered: bytearray = attrs.Factory(bytearray)
-    is_reported: bool = False
-
-
-@attrs.define
-class _ActiveRequest:
-    """A request in progress.
-
-    Attributes:
-        exchange: The HTTP exchange with the caller.
-        request_id: Request id sent by the caller, or empty.
-        arrived_s: Time of arrival.
-        relayed_attempt_id: Id of the attempt whose response is relayed, or 0.
-        decision: Inputs of the last routing decision, for logs and metrics.
-    """
-
-    exchange: object
-    request_id: str
-    arrived_s: float
-    relayed_attempt_id: int = 0
-    decision: dict = attrs.Factory(dict)
-
-    @property
-    def service(self):
-        return self.decision.get("service", "")
-
-    @property
-    def kind(self):
-        return self.decision.get("kind", "")
-
-
-@attrs.frozen
-class _Attempt:
-    """Request, service and kind of an attempt in progress."""
-
-    request_id: int
-    service: str
-    is_hop: bool = False
-
-
 class Forwarder:
     """HTTP application that forwards requests of callers by the configured routes.
 
@@ -140,7 +90,7 @@
             return
         key = exchange.request_id
         caller_request_id = exchange.header(self.header_names.request_id.decode())
-        self._active[key] = _ActiveRequest(exchange, caller_request_id, now_s)
+        self._active[key] = ActiveRequest(exchange, caller_request_id, now_s)
         exchange.on_disconnect = lambda: self._on_disconnect(key)
         exchange.stream.on_drained = lambda: self._resume_reading(key)
         timeout_s = int(remaining) / 1_000 if remaining else None
@@ -189,7 +139,7 @@
         exchange = request.exchange
         decision = request.decision = action.reason
         is_hop = action.attempts_before_hop is not None
-        self._attempts[action.attempt_id] = _Attempt(
+        self._attempts[action.attempt_id] = Attempt(
             action.request_id, request.service, is_hop
         )
         self.metrics.attempt_started(
@@ -284,7 +234,7 @@
         return self.core.forward.may_write(attempt_id, self.clock())
 
     def on_head(self, attempt_id, status, headers):
-        self._responses[attempt_id] = _Response(status, headers)
+        self._responses[attempt_id] = Response(status, headers)
         self._report_load(attempt_id, dict(headers))
         self._report_rate_limit(attempt_id, headers)
 
@@ -299,10 +249,24 @@
             if request.exchange.stream.is_congested:
                 self.pool.set_paused(attempt_id, True)
             return
+        if request is None:
+            self._discard(attempt_id, response, data)
+            return
         response.buffered += data
         if len(response.buffered) > MAX_BUFFERED_RESPONSE_BYTES:
             self._report_response(attempt_id, response)
 
+    def _discard(self, attempt_id, response, data):
+        """Discard a part of a body whose caller has left.
+
+        The rest of a long one is left unread until the deadline, so that it takes
+        neither memory nor processor time.
+        """
+        response.buffered.clear()
+        response.discarded_bytes += len(data)
+        if response.discarded_bytes > MAX_DISCARDED_RESPONSE_BYTES:
+            self.pool.set_paused(attempt_id, True)
+
     def on_end(self, attempt_id, status, headers, body):
         response = self._responses.get(attempt_id)
         if response is None:
--- a/packages/snipebay-node/tests/test_endless_bytes.py
+++ b/packages/snipebay-node/tests/test_endless_bytes.py
@@ -34,6 +34,7 @@
         self.caller.abort()
         self.feed(stream)
         self.assertLess(self.kept_bytes(), MAX_KEPT_BYTES)
+        self.assertTrue(stream.is_paused)
         self.now_s = 2.5
         self.core.tick(self.now_s)
         self.run_actions()
@@ -47,6 +48,16 @@
         self.feed(stream)
         self.assertLess(self.kept_bytes(), MAX_KEPT_BYTES)
 
+    def test_response_of_usual_size_is_read_to_its_end_without_its_caller(self):
+        self.send_request("/u/x", "POST", "Content-Length: 0\r\n")
+        stream = self.backend_stream()
+        self.caller.abort()
+        stream.on_data(b"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 524288\r\n\r\n")
+        stream.on_data(b"x" * 524_288)
+        self.assertFalse(stream.is_paused)
+        self.assertTrue(stream.is_open)
+        self.assertEqual(self.core.forward.rows, {})
+
     def test_response_is_held_behind_an_earlier_one(self):
         self.send_request("/a/1")
         self.send_request("/a/2")
