Resume the response that is due, whatever arrived after it

What callers saw: a long response that stopped in the middle until the deadline cut it, if they read slowly and sent a further request meanwhile. Cause: the callback for a drained send buffer belongs to the connection, and each request replaced it by its own. Change: the connection tells the exchange whose response is due. Test: test_drained_caller_gets_the_rest_of_an_earlier_response failed before.

--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -54,6 +54,7 @@
         body: Request body received so far.
         body_limit: Maximum body size in bytes, set when the head is checked.
         on_disconnect: Called when the caller disconnects before the response ends.
+        on_writable: Called when the response is no longer congested.
         is_complete: True once the entire request has been received.
         is_handled: True once the request was passed to the application.
         is_started: True once the response head was sent or queued.
@@ -75,6 +76,7 @@
         self.body = bytearray()
         self.body_limit = 0
         self.on_disconnect = None
+        self.on_writable = None
         self.is_complete = False
         self.is_handled = False
         self.is_started = False
@@ -105,6 +107,11 @@
     def stream(self):
         return self.connection.stream
 
+    @property
+    def is_congested(self):
+        """True while no more of the response should be produced."""
+        return self.stream.is_congested
+
     def header(self, name):
         """Return the first value of a header as text, or an empty string."""
         encoded_name = name.lower().encode()
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -92,7 +92,7 @@
         caller_request_id = exchange.header(self.header_names.request_id.decode())
         self._active[key] = ActiveRequest(exchange, caller_request_id, now_s)
         exchange.on_disconnect = lambda: self._on_disconnect(key)
-        exchange.stream.on_drained = lambda: self._resume_reading(key)
+        exchange.on_writable = lambda: self._resume_reading(key)
         timeout_s = int(remaining) / 1_000 if remaining else None
         host = exchange.header("host")
         hop = exchange.header(self.header_names.hop.decode())
@@ -246,7 +246,7 @@
         request = self._active.get(attempt.request_id) if attempt else None
         if request is not None and request.relayed_attempt_id == attempt_id:
             request.exchange.write(data)
-            if request.exchange.stream.is_congested:
+            if request.exchange.is_congested:
                 self.pool.set_paused(attempt_id, True)
             return
         if request is None:
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -108,6 +108,7 @@
         self._set_deadline(server.limits().head_timeout_s)
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
+        stream.on_drained = self._notify_writable
 
     # --- input ------------------------------------------------------------
 
@@ -262,6 +263,13 @@
         events, exchange.held_events = exchange.held_events, []
         for event in events:
             self._write(exchange, event)
+        if not exchange.is_congested:
+            self._notify_writable()
+
+    def _notify_writable(self):
+        """Let the response that is due continue."""
+        if self._pipeline and self._pipeline[0].on_writable is not None:
+            self._pipeline[0].on_writable()
 
     def _is_final_response(self, exchange):
         """Return True for the last response before the connection closes.
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -108,9 +108,7 @@
         )
         self._active[exchange.request_id] = _ActiveRequest(exchange, service, now_s)
         exchange.on_disconnect = lambda: self._on_disconnect(exchange.request_id)
-        exchange.stream.on_drained = lambda: self._set_paused(
-            exchange.request_id, False
-        )
+        exchange.on_writable = lambda: self._set_paused(exchange.request_id, False)
         self.core.commands.now_s = now_s
         self.core.requests.on_request(exchange.request_id, info, now_s)
         self.run_actions()
@@ -235,7 +233,7 @@
         request = self._active.get(self._request_ids.get(attempt_id))
         if request is not None and request.relayed_attempt_id == attempt_id:
             request.exchange.write(data)
-            if request.exchange.stream.is_congested:
+            if request.exchange.is_congested:
                 self.pool.set_paused(attempt_id, True)
 
     def on_end(self, attempt_id, status, headers, body):
