Stop reading a response that is held behind an earlier one

Cause: of pipelined requests the response to a later one is held until the earlier ones are sent. Only the send buffer slowed the backend server down, not what was held: 50 MB in the test, without a bound until the deadline. Change: a response counts as congested above 64 KiB held, and goes on once it is due.

--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -7,6 +7,8 @@
 __all__ = ["PROBLEM_TYPE", "Exchange", "problem_body"]
 
 PROBLEM_TYPE = "application/problem+json"
+# A response that waits for an earlier one counts as congested above this.
+MAX_HELD_BYTES = 64 * 1024
 _STATUS_TITLES = {
     400: "Bad Request",
     404: "Not Found",
@@ -47,6 +49,7 @@
         parser: The h11 parser of this request and its response.
         held_events: HTTP events of the response, held back until the responses to
             earlier requests have been sent.
+        held_bytes: Body bytes among them.
         request_id: Id unique in this process.
         method: Method as text.
         target: Path and query as text.
@@ -69,6 +72,7 @@
         self.connection = connection
         self.parser = parser
         self.held_events = []
+        self.held_bytes = 0
         self.request_id = request_id
         self.method = event.method.decode("ascii")
         self.target = event.target.decode("latin-1")
@@ -109,8 +113,11 @@
 
     @property
     def is_congested(self):
-        """True while no more of the response should be produced."""
-        return self.stream.is_congested
+        """True while no more of the response should be produced.
+
+        The caller reads slowly, or an earlier response is not sent yet.
+        """
+        return self.stream.is_congested or self.held_bytes > MAX_HELD_BYTES
 
     def header(self, name):
         """Return the first value of a header as text, or an empty string."""
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -238,6 +238,8 @@
             self._write(exchange, event)
         else:
             exchange.held_events.append(event)
+            if isinstance(event, h11.Data):
+                exchange.held_bytes += len(event.data)
 
     def _write(self, exchange, event):
         """Write an event of the response that is due."""
@@ -261,6 +263,7 @@
     def _write_held(self, exchange):
         """Write the held events of a response that has become due."""
         events, exchange.held_events = exchange.held_events, []
+        exchange.held_bytes = 0
         for event in events:
             self._write(exchange, event)
         if not exchange.is_congested:
