--- a/packages/snipebay-testbed/src/snipebay_testbed/older_build.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/older_build.py
@@ -7,11 +7,13 @@
 
 import attrs
 
-__all__ = ["LANDED_COMMIT", "Build", "BuildError"]
+__all__ = ["BASELESS_COMMIT", "LANDED_COMMIT", "Build", "BuildError"]
 
 ROOT = pathlib.Path(__file__).parents[4]
 # The build that was landed before commands had a base and snapshots withdrawals.
-LANDED_COMMIT = "6018973"
+BASELESS_COMMIT = "6018973"
+# The build that was landed last.
+LANDED_COMMIT = "8f3b9b4"
 PACKAGES = ("model", "policy", "control", "node", "testbed")
 
 
--- a/packages/snipebay-testbed/tests/test_landed_build.py
+++ b/packages/snipebay-testbed/tests/test_landed_build.py
@@ -1,4 +1,4 @@
-"""Tests that this build and the landed one read each other's data."""
+"""Tests that this build and landed ones read each other's data."""
 
 import pathlib
 import subprocess
@@ -6,19 +6,31 @@
 import tempfile
 import unittest
 
-from snipebay_testbed.older_build import LANDED_COMMIT, Build, BuildError
+from snipebay_testbed.older_build import (
+    BASELESS_COMMIT,
+    LANDED_COMMIT,
+    Build,
+    BuildError,
+)
 
 CHILD = pathlib.Path(__file__).with_name("landed_build.py")
 
 
-class TestLandedBuild(unittest.TestCase):
+class LandedBuildCase:
+    """Exchanges data with the build of a commit, both ways."""
+
+    commit = ""
+    # What it reads as the base of a command, and what this build reads in its own.
+    reads_base = None
+    writes_base = None
+
     @classmethod
     def setUpClass(cls):
         folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(folder.cleanup)
         cls.folder = pathlib.Path(folder.name)
         try:
-            landed = Build.from_commit(LANDED_COMMIT, cls.folder)
+            landed = Build.from_commit(cls.commit, cls.folder)
         except BuildError as exc:
             print(f"skipped: {exc}", file=sys.stderr)
             raise unittest.SkipTest(str(exc)) from exc
@@ -36,13 +48,6 @@
         path.write_bytes(self.run_build(writer, writes))
         return self.run_build(reader, reads, str(path)).decode().split("\n")[0]
 
-    def test_builds_differ(self):
-        path = self.folder / "own"
-        path.write_bytes(self.run_build("landed", "request"))
-        self.assertEqual(
-            self.run_build("landed", "read", str(path)), b"3 Evacuate None\n"
-        )
-
     def test_snapshots(self):
         expected = "['a-1', 'a-2'] ['i-2'] ['i-1']"
         for writer, reader in (("landed", "present"), ("present", "landed")):
@@ -52,9 +57,26 @@
 
     def test_commands(self):
         found = self.exchange("landed", "request", "present", "read")
-        self.assertEqual(found, "3 Evacuate -1")
+        self.assertEqual(found, f"3 Evacuate {self.writes_base}")
         found = self.exchange("present", "request", "landed", "read")
-        self.assertEqual(found, "3 Evacuate None")
+        self.assertEqual(found, f"3 Evacuate {self.reads_base}")
+
+
+class TestBaselessBuild(LandedBuildCase, unittest.TestCase):
+    commit = BASELESS_COMMIT
+    writes_base = -1
+
+    def test_builds_differ(self):
+        path = self.folder / "own"
+        path.write_bytes(self.run_build("landed", "request"))
+        self.assertEqual(
+            self.run_build("landed", "read", str(path)), b"3 Evacuate None\n"
+        )
+
+
+class TestLandedBuild(LandedBuildCase, unittest.TestCase):
+    commit = LANDED_COMMIT
+    reads_base = writes_base = 7
 
 
 if __name__ == "__main__":
