Log once that connections can't be accepted

Change: one line until accepting works again. Test: test_failure_to_accept_is_logged_once failed before (two lines).

--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -176,6 +176,7 @@
         self._streams = {}
         self._listeners = {}
         self._lingering = {}
+        self._can_accept = True
 
     def listen(self, address, on_accept):
         """Listen on an address and call ``on_accept`` with each new stream.
@@ -305,9 +306,13 @@
             try:
                 sock, (host, port, *_) = listener.accept()
             except BlockingIOError:
+                self._can_accept = True
                 return True
             except OSError as exc:
-                log.warning("connection not accepted", error=str(exc))
+                # Without descriptors this is repeated until some are free.
+                if self._can_accept:
+                    log.warning("connections not accepted", error=str(exc))
+                self._can_accept = False
                 return False
             sock.setblocking(False)
             _set_socket_options(sock)
--- a/packages/snipebay-node/tests/test_streams.py
+++ b/packages/snipebay-node/tests/test_streams.py
@@ -1,9 +1,12 @@
 """Tests for TCP streams on real sockets."""
 
+import errno
 import socket
 import unittest
+from unittest import mock
 
 from circuits.core.pollers import EPoll
+from snipebay_node import streams
 from snipebay_node.http_server import HttpServer
 from snipebay_node.streams import Stream, StreamHub
 from snipebay_testbed.http_case import Application
@@ -78,6 +81,24 @@
         self.assertEqual(self.accepted_index(), 9)
 
 
+class TestAccept(unittest.TestCase):
+    def setUp(self):
+        self.hub = StreamHub(EPoll())
+        self.addCleanup(self.hub.stop_listening)
+        self.hub.listen("127.0.0.1:0", lambda stream: None)
+
+    def test_failure_to_accept_is_logged_once(self):
+        (listener,) = self.hub._listeners
+        failing = mock.Mock(**{"accept.side_effect": OSError(errno.EMFILE, "none")})
+        self.hub._listeners = {failing: self.hub._listeners[listener]}
+        with mock.patch.object(streams, "log") as log:
+            self.assertFalse(self.hub.accept_waiting())
+            self.assertFalse(self.hub.accept_waiting())
+            log.warning.assert_called_once()
+        self.hub._listeners = {listener: None}
+        self.assertTrue(self.hub.accept_waiting())
+
+
 class TestConnect(unittest.TestCase):
     def test_address_that_can_not_be_used_is_a_failed_connection(self):
         # Rows may come from another writer, or from a build with other checks.
