--- a/packages/snipebay-node/tests/test_endless_bytes.py
+++ b/packages/snipebay-node/tests/test_endless_bytes.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from snipebay_node.http_server import HttpServer
+from snipebay_testbed.fake_stream import FakeStream
 from snipebay_testbed.forwarder_case import RESPONSE, ForwarderCase
 
 CHUNK = b"x" * 8_192
@@ -58,6 +60,34 @@
         self.assertTrue(stream.is_open)
         self.assertEqual(self.core.forward.rows, {})
 
+    def test_all_backend_servers_while_all_callers_have_left(self):
+        callers = []
+        for _ in range(8):
+            self.caller = FakeStream()
+            callers.append(self.caller)
+            HttpServer(self.forwarder, lambda: self.now_s).accept(self.caller)
+            self.send_request("/u/x", "POST", "Content-Length: 0\r\n")
+        for caller in callers:
+            caller.abort()
+        for number in range(len(self.hub.streams)):
+            self.feed(self.backend_stream(number))
+        self.assertEqual(len(self.hub.streams), 8)
+        self.assertLess(self.kept_bytes(), MAX_KEPT_BYTES)
+        self.assertTrue(all(stream.is_paused for stream in self.hub.streams))
+
+    def test_caller_of_a_request_that_may_be_repeated_has_left(self):
+        self.send_request()
+        stream = self.backend_stream()
+        stream.on_data(HEAD + b"\r\n" + CHUNK)
+        self.caller.abort()
+        self.assertFalse(stream.is_open)
+        self.assertEqual(self.kept_bytes(), 0)
+
+    def test_caller_that_does_not_read(self):
+        self.caller.is_congested = True
+        self.send_request()
+        self.assertLess(self.feed(self.backend_stream()), MAX_KEPT_BYTES)
+
     def test_response_is_held_behind_an_earlier_one(self):
         self.send_request("/a/1")
         self.send_request("/a/2")
@@ -140,6 +170,12 @@
         self.assertFalse(self.response.endswith(b"0\r\n\r\n"))
         self.assertTrue(self.forwarder.is_idle)
 
+    def test_bytes_on_a_connection_without_a_request(self):
+        self.forwarder.pool.probe("10.0.1.1:80", lambda is_connected: None)
+        stream = self.backend_stream()
+        stream.on_data(CHUNK)
+        self.assertFalse(stream.is_open)
+
     def test_bytes_after_a_response(self):
         self.send_request()
         stream = self.backend_stream()
--- a/packages/snipebay-node/tests/test_hops.py
+++ b/packages/snipebay-node/tests/test_hops.py
@@ -57,6 +57,18 @@
         )
         self.assertTrue(self.response.startswith(b"HTTP/1.1 502"))
 
+    def test_endless_response_through_an_instance_without_its_caller(self):
+        self.send_request("/u/x", "POST", "Content-Length: 0\r\n")
+        stream = self.backend_stream()
+        self.caller.abort()
+        stream.on_data(b"HTTP/1.1 200 OK\r\nId: 7\r\n\r\n")
+        for _ in range(100):
+            if not stream.is_paused:
+                stream.on_data(b"x" * 65_536)
+        self.assertTrue(stream.is_paused)
+        (response,) = self.forwarder._responses.values()
+        self.assertEqual(response.buffered, b"")
+
     def test_outcome_that_a_backend_server_claims_is_not_passed_on(self):
         self.core.reach.state = Reach.REACHED
         self.send_request("/u/x", "POST", "Content-Length: 0\r\nSnipebay-Hop: 1\r\n")
