Read what waits in the kernel before a connection times out

Cause: timeouts run in a tick, before the input that the kernel holds is read. A process that was held up or suspended closed idle connections whose next request had arrived. Evidence: the test on real sockets. Change: the connection is read once before it times out; a request that is still incomplete is rejected as before. Rejections got a module of their own. Tests: two of TestTimeoutBesideWaitingInput failed before.

--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -12,7 +12,8 @@
 from snipebay_model.plan import RequestLimits
 from snipebay_model.units import HEAD_LIMIT_BYTES
 
-from snipebay_node.exchange import PROBLEM_TYPE, Exchange, problem_body
+from snipebay_node.exchange import Exchange
+from snipebay_node.rejections import encode_rejection, framing_error
 
 __all__ = ["STOP_IDLE_DELAY_S", "HttpServer"]
 
@@ -180,9 +181,9 @@
     def _on_request_head(self, event):
         exchange = Exchange(self, self._parser, self.server.next_request_id(), event)
         self._receiving = exchange
-        framing_error = _framing_error(exchange)
-        if framing_error:
-            self._reject(400, framing_error)
+        detail = framing_error(exchange)
+        if detail:
+            self._reject(400, detail)
             return
         self._set_deadline(BODY_TIMEOUT_S)
         self._pipeline.append(exchange)
@@ -322,7 +323,13 @@
         return not self._pipeline and not is_receiving
 
     def time_out(self):
-        """Close the connection after a timeout, with status 408 if not idle."""
+        """Close the connection after a timeout, with status 408 if not idle.
+
+        A process that was held up or suspended may find the input only now.
+        """
+        self.stream.handle_read()
+        if not self.stream.is_open or self.server.clock() < self.deadline_s:
+            return
         if self._is_idle:
             self._close()
         else:
@@ -352,7 +359,7 @@
             if exchange in self._pipeline:
                 self._pipeline.remove(exchange)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._rejection = _encode_rejection(self._parser, status, detail)
+            self._rejection = encode_rejection(self._parser, status, detail)
         elif self._pipeline or (exchange is not None and exchange.is_started):
             self.stream.abort()
             return
@@ -366,31 +373,3 @@
     def _set_deadline(self, seconds):
         limit_s = float("inf") if seconds is None else seconds
         self.deadline_s = self.server.clock() + limit_s
-
-
-def _encode_rejection(parser, status, detail):
-    """Return the bytes of a last response that says why a request is invalid."""
-    body = problem_body(status, "not-run", detail)
-    headers = [
-        ("Content-Type", PROBLEM_TYPE),
-        ("Content-Length", str(len(body))),
-        ("Snipebay-Outcome", "not-run"),
-        ("Connection", "close"),
-    ]
-    response = h11.Response(status_code=status, headers=headers, reason=b"")
-    events = (response, h11.Data(data=body), h11.EndOfMessage())
-    return b"".join(parser.send(event) for event in events)
-
-
-def _framing_error(exchange):
-    """Return why a request's framing is rejected, or an empty string."""
-    lengths = [v for name, v in exchange.headers if name == b"content-length"]
-    codings = [v for name, v in exchange.headers if name == b"transfer-encoding"]
-    hosts = [v for name, v in exchange.headers if name == b"host"]
-    if lengths and codings:
-        return "both Content-Length and Transfer-Encoding"
-    if len(lengths) > 1 or len(codings) > 1 or len(hosts) > 1:
-        return "a framing header stands twice"
-    if exchange.method == "CONNECT":
-        return "CONNECT is not served"
-    return ""
--- /dev/null
+++ b/packages/snipebay-node/src/snipebay_node/rejections.py
@@ -0,0 +1,35 @@
+"""Requests that are rejected before they reach an application."""
+
+import h11
+
+from snipebay_node.exchange import PROBLEM_TYPE, problem_body
+
+__all__ = ["encode_rejection", "framing_error"]
+
+
+def encode_rejection(parser, status, detail):
+    """Return the bytes of a last response that says why a request is invalid."""
+    body = problem_body(status, "not-run", detail)
+    headers = [
+        ("Content-Type", PROBLEM_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Snipebay-Outcome", "not-run"),
+        ("Connection", "close"),
+    ]
+    response = h11.Response(status_code=status, headers=headers, reason=b"")
+    events = (response, h11.Data(data=body), h11.EndOfMessage())
+    return b"".join(parser.send(event) for event in events)
+
+
+def framing_error(exchange):
+    """Return why a request's framing is rejected, or an empty string."""
+    lengths = [v for name, v in exchange.headers if name == b"content-length"]
+    codings = [v for name, v in exchange.headers if name == b"transfer-encoding"]
+    hosts = [v for name, v in exchange.headers if name == b"host"]
+    if lengths and codings:
+        return "both Content-Length and Transfer-Encoding"
+    if len(lengths) > 1 or len(codings) > 1 or len(hosts) > 1:
+        return "a framing header stands twice"
+    if exchange.method == "CONNECT":
+        return "CONNECT is not served"
+    return ""
--- a/packages/snipebay-node/tests/test_streams.py
+++ b/packages/snipebay-node/tests/test_streams.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -81,6 +82,66 @@
         self.assertEqual(self.accepted_index(), 9)
 
 
+class TestTimeoutBesideWaitingInput(unittest.TestCase):
+    """Guards against requests lost in the kernel of a process that was held up."""
+
+    REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    def setUp(self):
+        self.now_s = 0.0
+        self.app = Application()
+        self.server = HttpServer(self.app, lambda: self.now_s)
+        self.hub = StreamHub(EPoll())
+        self.addCleanup(self.hub.stop_listening)
+        address = self.hub.listen("127.0.0.1:0", self.server.accept)
+        self.caller = socket.create_connection(address, 1.0)
+        self.addCleanup(self.caller.close)
+        self.hub.accept_waiting()
+        (self.stream,) = self.hub._streams.values()
+        self.addCleanup(self.stream.abort)
+
+    def ask(self):
+        self.caller.sendall(self.REQUEST)
+        while not self.stream.handle_read():
+            pass
+        self.assertIn(b"200", self.caller.recv(1_000))
+
+    def test_request_that_waits_on_an_idle_connection_is_answered(self):
+        self.ask()
+        self.server.stop()
+        self.caller.sendall(self.REQUEST)
+        time.sleep(0.05)
+        self.now_s = 0.8
+        self.server.tick(self.now_s)
+        self.assertIn(b"200", self.caller.recv(1_000))
+
+    def test_rest_of_a_request_that_waits_is_read_before_it_times_out(self):
+        self.caller.sendall(self.REQUEST[:9])
+        while not self.stream.handle_read():
+            pass
+        self.caller.sendall(self.REQUEST[9:])
+        time.sleep(0.05)
+        self.now_s = 60.0
+        self.server.tick(self.now_s)
+        self.assertIn(b"200", self.caller.recv(1_000))
+
+    def test_request_that_arrives_slowly_is_rejected(self):
+        self.caller.sendall(self.REQUEST[:9])
+        while not self.stream.handle_read():
+            pass
+        self.caller.sendall(self.REQUEST[9:12])
+        time.sleep(0.05)
+        self.now_s = 60.0
+        self.server.tick(self.now_s)
+        self.assertIn(b"408", self.caller.recv(1_000))
+
+    def test_idle_connection_without_input_is_closed(self):
+        self.ask()
+        self.now_s = 600.0
+        self.server.tick(self.now_s)
+        self.assertEqual(self.caller.recv(1_000), b"")
+
+
 class TestAccept(unittest.TestCase):
     def setUp(self):
         self.hub = StreamHub(EPoll())
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -30,6 +30,10 @@
     def write(self, data):
         self.sent += data
 
+    def handle_read(self):
+        """Return False: no input waits."""
+        return False
+
     def connect(self):
         """Complete the pending connection attempt."""
         self.is_connecting = False
