--- a/packages/snipebay-node/tests/test_streams.py
+++ b/packages/snipebay-node/tests/test_streams.py
@@ -115,25 +115,22 @@
         self.server.tick(self.now_s)
         self.assertIn(b"200", self.caller.recv(1_000))
 
-    def test_rest_of_a_request_that_waits_is_read_before_it_times_out(self):
+    def response_to_a_late_part(self, size):
+        """Return the response when a part of a request waits as it times out."""
         self.caller.sendall(self.REQUEST[:9])
         while not self.stream.handle_read():
             pass
-        self.caller.sendall(self.REQUEST[9:])
+        self.caller.sendall(self.REQUEST[9 : 9 + size])
         time.sleep(0.05)
         self.now_s = 60.0
         self.server.tick(self.now_s)
-        self.assertIn(b"200", self.caller.recv(1_000))
+        return self.caller.recv(1_000)
+
+    def test_rest_of_a_request_that_waits_is_read_before_it_times_out(self):
+        self.assertIn(b"200", self.response_to_a_late_part(len(self.REQUEST)))
 
     def test_request_that_arrives_slowly_is_rejected(self):
-        self.caller.sendall(self.REQUEST[:9])
-        while not self.stream.handle_read():
-            pass
-        self.caller.sendall(self.REQUEST[9:12])
-        time.sleep(0.05)
-        self.now_s = 60.0
-        self.server.tick(self.now_s)
-        self.assertIn(b"408", self.caller.recv(1_000))
+        self.assertIn(b"408", self.response_to_a_late_part(3))
 
     def test_idle_connection_without_input_is_closed(self):
         self.ask()
