--- a/packages/snipebay-node/src/snipebay_node/active_requests.py
+++ b/packages/snipebay-node/src/snipebay_node/active_requests.py
@@ -53,7 +53,13 @@
 
 @attrs.frozen
 class Attempt:
-    """Request, service and kind of an attempt in progress."""
+    """An attempt in progress.
+
+    Attributes:
+        request_id: Id of the exchange with the caller.
+        service: Service of the request.
+        is_hop: True when it goes through another entry instance.
+    """
 
     request_id: int
     service: str
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -194,7 +194,7 @@
         request.relayed_attempt_id = action.attempt_id
         headers = strip_hop_headers(response.headers)
         if not self._attempts[action.attempt_id].is_hop:
-            # Only instances say this; another one would believe it.
+            # Instances trust this header of each other, so only they may set it.
             headers = [h for h in headers if h[0] != self.header_names.outcome]
         request.exchange.start(response.status, headers)
         request.exchange.write(bytes(response.buffered))
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -325,7 +325,8 @@
     def time_out(self):
         """Close the connection after a timeout, with status 408 if not idle.
 
-        A process that was held up or suspended may find the input only now.
+        Input is read first: in a process that was suspended it may have waited longer
+        than the timeout.
         """
         self.stream.handle_read()
         if not self.stream.is_open or self.server.clock() < self.deadline_s:
