--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -13,13 +13,12 @@
 from snipebay_node import response_headers
 from snipebay_node.active_requests import ActiveRequest, Attempt, Response
 from snipebay_node.header_names import HeaderNames
+from snipebay_node.hop_headers import next_hop_headers, strip_hop_headers
 from snipebay_node.log_sink import RequestLog
 from snipebay_node.upstream import (
     MISDIRECTED_REQUEST,
     UpstreamPool,
     UpstreamRequest,
-    next_hop_headers,
-    strip_hop_headers,
 )
 
 __all__ = ["Forwarder"]
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -12,13 +12,12 @@
     RequestInfo,
 )
 
+from snipebay_node.hop_headers import next_hop_headers, strip_hop_headers
 from snipebay_node.response_headers import parse_rate_limit
 from snipebay_node.tracing import end_span, trace_id
 from snipebay_node.upstream import (
     UpstreamPool,
     UpstreamRequest,
-    next_hop_headers,
-    strip_hop_headers,
 )
 
 __all__ = ["Proxy"]
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -103,7 +103,7 @@
 
 def _evacuated_gauge(role, domains):
     gauge = GaugeMetricFamily(
-        f"snipebay_{role}_evacuated", "1 for each one.", labels=("domain",)
+        f"snipebay_{role}_evacuated", "1 for an evacuated domain.", labels=("domain",)
     )
     for domain in domains:
         gauge.add_metric((domain,), 1)
--- a/packages/snipebay-node/tests/test_http.py
+++ b/packages/snipebay-node/tests/test_http.py
@@ -3,12 +3,12 @@
 import json
 import unittest
 
+from snipebay_node.hop_headers import strip_hop_headers
 from snipebay_node.http_server import STOP_IDLE_DELAY_S
 from snipebay_node.upstream import (
     CONNECT_TIMEOUT_S,
     UpstreamPool,
     UpstreamRequest,
-    strip_hop_headers,
 )
 from snipebay_testbed.fake_stream import FakeHub, FakeStream
 from snipebay_testbed.http_case import ServerCase
--- a/packages/snipebay-node/tests/test_streams.py
+++ b/packages/snipebay-node/tests/test_streams.py
@@ -83,7 +83,7 @@
 
 
 class TestTimeoutBesideWaitingInput(unittest.TestCase):
-    """Guards against requests lost in the kernel of a process that was held up."""
+    """Guards against requests lost in the kernel of a process that was suspended."""
 
     REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 
