Late ticks let waiting input go first

What callers saw: 504 for a response that waited in the kernel while the entry instance was suspended beyond the deadline. Cause: the periodic call is made before the poll, so after a suspension timeouts expired before the input that had arrived in time was read. A call that is more than 10 ms late now polls three times without blocking first; this concerns the timers of both roles and all periodic calls.

The unit test fails without the change.

--- a/packages/snipebay-node/src/snipebay_node/ticker.py
+++ b/packages/snipebay-node/src/snipebay_node/ticker.py
@@ -6,6 +6,13 @@
 
 __all__ = ["Ticker"]
 
+# A call that is later than this lets input go first. After a suspension, input that
+# arrived in time would otherwise find its timeouts expired.
+LATE_S = 0.01
+# Polls for input before a late call: for connections, for what arrived on them, and for
+# the rest of long messages.
+INPUT_POLLS = 3
+
 
 class Ticker(BaseComponent):
     """Calls a function periodically.
@@ -30,6 +37,7 @@
         self._on_tick = on_tick
         self._clock = clock
         self._next_tick_s = clock() + interval_s
+        self._polls_left = INPUT_POLLS
 
     def expedite(self, delay_s):
         """Make the next call within a delay, if it would come later."""
@@ -38,8 +46,13 @@
     @handler("generate_events")
     def _on_generate_events(self, event):
         now_s = self._clock()
+        if now_s >= self._next_tick_s + LATE_S and self._polls_left:
+            self._polls_left -= 1
+            event.reduce_time_left(0.0)
+            return
         if now_s >= self._next_tick_s:
             # Missed ticks are skipped.
             self._next_tick_s = now_s + self.interval_s
+            self._polls_left = INPUT_POLLS
             self._on_tick(now_s)
         event.reduce_time_left(max(0.0, self._next_tick_s - self._clock()))
--- a/packages/snipebay-node/tests/test_ticker.py
+++ b/packages/snipebay-node/tests/test_ticker.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from snipebay_node.ticker import Ticker
+from snipebay_node.ticker import INPUT_POLLS, Ticker
 
 
 class FakeEvent:
@@ -40,6 +40,18 @@
         self.run_until(0.035)
         self.assertEqual(len(self.ticks), 1)
 
+    def test_late_tick_lets_waiting_input_go_first(self):
+        # Guards against timeouts that expire before input from a suspension is read.
+        self.now_s = 5.0
+        events = [FakeEvent() for _ in range(INPUT_POLLS)]
+        for event in events:
+            event.time_left_s = 1.0
+            self.ticker._on_generate_events(event)
+        self.assertEqual([event.time_left_s for event in events], [0.0] * INPUT_POLLS)
+        self.assertEqual(self.ticks, [])
+        self.ticker._on_generate_events(FakeEvent())
+        self.assertEqual(self.ticks, [5.0])
+
     def test_missed_ticks_are_skipped(self):
         self.now_s = 5.0
         self.run_until(5.05)
