--- a/packages/snipebay-model/src/snipebay_model/plan.py
+++ b/packages/snipebay-model/src/snipebay_model/plan.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from snipebay_model.workspace import Workspace, validate_workspaces
+
 __all__ = [
     "Plan",
     "PlanReading",
@@ -33,6 +35,8 @@
         session_affinity: True when requests with the same affinity key
             prefer the same backend server.
         allowed_regions: Regions that may serve the route, empty for all.
+        is_upload: True when requests have large bodies.
+        is_public: True when requests need no key of a workspace.
     """
 
     name: str
@@ -46,10 +50,14 @@
     max_attempts: int = 1
     session_affinity: bool = False
     allowed_regions: tuple[str, ...] = ()
+    is_upload: bool = False
+    is_public: bool = False
 
     @property
     def kind(self):
-        """``idempotent`` or ``unsafe``, for logs and metrics."""
+        """``idempotent``, ``upload`` or ``unsafe``, for logs and metrics."""
+        if self.is_upload:
+            return "upload"
         return "idempotent" if self.idempotent else "unsafe"
 
 
@@ -102,6 +110,8 @@
         limits: Limits on requests.
         source: The document that the plan was parsed from, returned unchanged
             when it is read.
+        workspaces: Workspaces in the order of the document. Without any, requests
+            need no key.
     """
 
     version: int = 0
@@ -109,6 +119,7 @@
     services: tuple[RoutedService, ...] = ()
     limits: RequestLimits = RequestLimits()
     source: bytes = b""
+    workspaces: tuple[Workspace, ...] = ()
 
     def without_source(self):
         """Return the plan without its document, which entry instances don't use."""
@@ -122,9 +133,11 @@
         """
         if old is None:
             return self
-        routes = _shared_rows(self.routes, old.routes)
         return attrs.evolve(
-            self, routes=routes, services=_shared_rows(self.services, old.services)
+            self,
+            routes=_shared_rows(self.routes, old.routes),
+            services=_shared_rows(self.services, old.services),
+            workspaces=_shared_rows(self.workspaces, old.workspaces),
         )
 
 
@@ -168,6 +181,7 @@
         names.add(route.name)
         host_prefixes.add((route.host, route.prefix))
         errors += [f"{path}.{error}" for error in _validate_route(route, set(known))]
+    errors += validate_workspaces(plan.workspaces)
     if plan.version < 1:
         errors.append(f"version: {plan.version!r} is not above 0")
     return errors
--- a/packages/snipebay-model/src/snipebay_model/plan_patch.py
+++ b/packages/snipebay-model/src/snipebay_model/plan_patch.py
@@ -7,6 +7,7 @@
 import attrs
 
 from snipebay_model.plan import Plan, RequestLimits, Route, RoutedService
+from snipebay_model.workspace import Workspace
 
 __all__ = ["PlanPatch"]
 
@@ -23,6 +24,8 @@
         removed_routes: Names of the routes removed.
         services: Services added or changed.
         removed_services: Names of the services removed.
+        workspaces: Workspaces added or changed.
+        removed_workspaces: Names of the workspaces removed.
     """
 
     base_version: int
@@ -32,6 +35,8 @@
     removed_routes: tuple[str, ...] = ()
     services: tuple[RoutedService, ...] = ()
     removed_services: tuple[str, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
+    removed_workspaces: tuple[str, ...] = ()
 
     @classmethod
     def from_plans(cls, old, new):
@@ -46,16 +51,19 @@
             removed_routes,
             services,
             removed_services,
+            *_changes(old.workspaces, new.workspaces),
         )
 
     @property
     def size(self):
-        """Number of routes and services that it names."""
+        """Number of routes, services and workspaces that it names."""
         return (
             len(self.routes)
             + len(self.removed_routes)
             + len(self.services)
             + len(self.removed_services)
+            + len(self.workspaces)
+            + len(self.removed_workspaces)
         )
 
     def apply(self, plan):
@@ -77,6 +85,9 @@
             _patched(plan.routes, self.routes, self.removed_routes),
             _patched(plan.services, self.services, self.removed_services),
             self.limits,
+            workspaces=_patched(
+                plan.workspaces, self.workspaces, self.removed_workspaces
+            ),
         )
 
 
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -12,6 +12,7 @@
 
 from snipebay_node import response_headers
 from snipebay_node.active_requests import ActiveRequest, Attempt, Response
+from snipebay_node.caller_headers import read_arrival
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.hop_headers import next_hop_headers, strip_hop_headers
 from snipebay_node.log_sink import RequestLog
@@ -80,41 +81,19 @@
     def handle(self, exchange):
         """Start to forward a complete request."""
         now_s = self.clock()
-        name = self.header_names.deadline_ms.decode()
-        remaining = exchange.header(name)
-        if remaining and not remaining.isdigit():
-            exchange.problem(
-                400, "not-run", f"{name}: {remaining!r} is not a whole number"
-            )
+        try:
+            arrival = read_arrival(exchange, self.header_names)
+        except ValueError as exc:
+            exchange.problem(400, "not-run", str(exc))
             return
         key = exchange.request_id
         caller_request_id = exchange.header(self.header_names.request_id.decode())
         self._active[key] = ActiveRequest(exchange, caller_request_id, now_s)
         exchange.on_disconnect = lambda: self._on_disconnect(key)
         exchange.on_writable = lambda: self._resume_reading(key)
-        timeout_s = int(remaining) / 1_000 if remaining else None
-        host = exchange.header("host")
-        hop = exchange.header(self.header_names.hop.decode())
-        attempts_before_hop = int(hop) if hop.isdigit() and len(hop) < 3 else None
-        self.core.forward.on_request(
-            key,
-            host,
-            exchange.path,
-            timeout_s,
-            now_s,
-            self._affinity(exchange),
-            attempts_before_hop,
-        )
+        self.core.forward.on_request(arrival, now_s)
         self.run_actions()
 
-    def _affinity(self, exchange):
-        """Return the affinity key in the cookies of a request, or an empty string."""
-        for part in exchange.header("cookie").split(";"):
-            name, _, value = part.strip().partition("=")
-            if name and name == self.header_names.affinity:
-                return value
-        return ""
-
     def execute(self, action):
         """Execute an action of the core."""
         self._handlers[type(action)](action)
@@ -168,14 +147,22 @@
     def _headers(self, exchange, action, remaining_ms):
         """Return the headers that go to the backend server or entry instance."""
         header_names = self.header_names
-        replaced = (header_names.deadline_ms, header_names.target, header_names.hop)
+        replaced = [header_names.deadline_ms, header_names.target, header_names.hop]
+        is_hop = action.attempts_before_hop is not None
+        if self.core.workspaces:
+            # Another instance checks the key itself; a backend server never gets it.
+            replaced += [header_names.workspace]
+            replaced += [] if is_hop else [header_names.credential]
         headers = next_hop_headers(exchange, replaced)
         headers.append((header_names.deadline_ms, str(remaining_ms).encode()))
-        if action.attempts_before_hop is not None:
+        if is_hop:
             hop = str(action.attempts_before_hop).encode()
             headers.append((header_names.hop, hop))
-        elif header_names.target:
+            return headers
+        if header_names.target:
             headers.append((header_names.target, action.backend.backend_id.encode()))
+        if action.workspace:
+            headers.append((header_names.workspace, action.workspace.encode()))
         return headers
 
     def _cancel(self, action):
--- a/packages/snipebay-node/src/snipebay_node/header_names.py
+++ b/packages/snipebay-node/src/snipebay_node/header_names.py
@@ -20,6 +20,9 @@
         hop: Attempts before a hop between entry instances; its presence forbids a
             second hop.
         outcome: Response header of an entry instance's own problems.
+        credential: Key of the workspace that a request belongs to. While the plan has
+            workspaces, it goes to no backend server.
+        workspace: Name of the workspace, which backend servers receive in its place.
         affinity: Name of the cookie that holds the affinity key.
     """
 
@@ -31,4 +34,6 @@
     rate_limit: bytes = b"snipebay-rate-limit"
     hop: bytes = b"snipebay-hop"
     outcome: bytes = b"snipebay-outcome"
+    credential: bytes = b"snipebay-key"
+    workspace: bytes = b"snipebay-workspace"
     affinity: str = ""
--- a/packages/snipebay-node/src/snipebay_node/response_headers.py
+++ b/packages/snipebay-node/src/snipebay_node/response_headers.py
@@ -1,9 +1,13 @@
 """Reads what backend servers say in the headers of their responses."""
 
-__all__ = ["parse_load", "parse_rate_limit", "parse_retry_after"]
+__all__ = ["parse_load", "parse_pace", "parse_rate_limit", "parse_retry_after"]
 
 # Longer values are no sensible decimal number.
 MAX_VALUE_BYTES = 64
+# Other percentages are taken for errors: they would rank a backend server far before or
+# behind all others.
+MIN_PACE_PERCENT = 10
+MAX_PACE_PERCENT = 10_000
 
 
 def parse_rate_limit(values):
@@ -21,13 +25,30 @@
 
 
 def parse_load(value):
-    """Return the requests running and waiting in a load header, None if unusable."""
+    """Return the requests running and waiting in a load header, None if unusable.
+
+    It holds these two and the slots. A fourth figure, where a backend server shares its
+    machine with others, is the pace of work there, see :func:`parse_pace`.
+    """
     parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) not in (3, 4) or not all(p.strip().isdigit() for p in parts[:3]):
         return None
     return int(parts[0]), int(parts[1])
 
 
+def parse_pace(value):
+    """Return how long work takes now as a multiple of the usual, None if unknown.
+
+    Args:
+        value: A load header, whose fourth figure is a percentage of the usual time.
+    """
+    parts = value.split(b",")
+    if len(parts) != 4 or not parts[3].strip().isdigit():
+        return None
+    percent = int(parts[3]) if len(parts[3]) <= MAX_VALUE_BYTES else 0
+    return percent / 100 if MIN_PACE_PERCENT <= percent <= MAX_PACE_PERCENT else None
+
+
 def parse_retry_after(value):
     """Return the seconds in a Retry-After header, None if it has no usable number."""
     return _decimal(value.decode("latin-1").strip())
--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -124,7 +124,7 @@
         if row.has_hopped or row.hop_count >= MAX_HOPS:
             return False
         exclude = row.excluded_backends
-        member = self.ctx.hop_table.choose(row.route.allowed_regions, exclude)
+        member = self.ctx.hop_table.choose(row.allowed_regions, exclude)
         if member is None:
             return False
         row.hop_count += 1
@@ -172,7 +172,7 @@
 
     def _regions(self, row):
         """Return the regions to try, the one assigned to the request first."""
-        allowed = row.route.allowed_regions
+        allowed = row.allowed_regions
         known = self.ctx.shares(row.service).regions(allowed)
         others = sorted(known, key=lambda r: (r != self.ctx.region, r))
         regions = dict.fromkeys((row.region, *others))
@@ -225,10 +225,11 @@
                 row.deadline_s,
                 {**reason, "hop": True} if is_hop else reason,
                 row.attempt_count if is_hop else None,
+                row.workspace.name if row.workspace is not None else "",
             )
         )
 
 
 def _queue_order(row):
     """Return the sort key of a waiting request: priority, then arrival."""
-    return row.route.priority, row.arrived_s, row.request_id
+    return row.priority, row.arrived_s, row.request_id
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -3,6 +3,7 @@
 import collections
 import math
 
+from snipebay_policy.arrivals import check_arrival
 from snipebay_policy.backend_reports import BackendReports
 from snipebay_policy.dispatch_queue import DispatchQueue
 from snipebay_policy.forward_reasons import (
@@ -12,14 +13,8 @@
     unstated_refusal_detail,
 )
 from snipebay_policy.forward_rows import ForwardRow, ForwardRules
-from snipebay_policy.work import (
-    NOT_RUN,
-    PROMISE_STATUSES,
-    Cancel,
-    Probe,
-    Problem,
-    Relay,
-)
+from snipebay_policy.work import PROMISE_STATUSES, Cancel, Probe, Problem, Relay
+from snipebay_policy.workspaces.keys import allowed_regions
 
 __all__ = ["ForwardSystem"]
 
@@ -48,61 +43,53 @@
 
     # --- from the caller --------------------------------------------------
 
-    def on_request(
-        self, request_id, host, path, timeout_s, now_s, key="", attempts_before_hop=None
-    ):
+    def on_request(self, arrival, now_s):
         """Admit or refuse a request whose head and body have been read.
 
         Args:
-            request_id: Id unique at this instance.
-            host: Value of its ``Host`` header.
-            path: Path without the query.
-            timeout_s: Timeout of its caller, or None when unknown.
+            arrival: The :class:`Arrival`.
             now_s: Time.
-            key: Affinity key, or empty.
-            attempts_before_hop: Attempts of the entry instance that sent it here, or
-                None when its caller did.
         """
-        table = self.ctx.table
-        if self.is_closed:
-            detail, after_s = "this instance is about to stop", self.rules.retry_after_s
-            self._refuse(request_id, "stopping", detail, after_s)
-            return
-        if table is None:
-            detail = "no traffic plan is in force here yet"
-            after_s = self.queue.retry_delays.startup_s()
-            self._refuse(request_id, "no_plan", detail, after_s)
+        found = check_arrival(arrival, self, now_s)
+        if isinstance(found, Problem):
+            self.ctx.queue_action(found)
             return
-        route = table.find(host, path)
-        if route is None:
-            detail = f"no route for {host!r} and {path!r}"
-            problem = Problem(request_id, 404, NOT_RUN, detail, reason="no_route")
-            self.ctx.queue_action(problem)
-            return
-        limit_s = (
-            route.timeout_s if timeout_s is None else min(timeout_s, route.timeout_s)
-        )
-        if not route.idempotent and now_s + limit_s > self.ends_s:
-            detail = "this instance stops before the request must have ended"
-            self._refuse(request_id, "stopping", detail, self.rules.retry_after_s)
-            return
-        service = table.next_service(route)
-        key = key if route.session_affinity else ""
-        region = self.ctx.region_for(service, key, route.allowed_regions)
+        route, workspace = found
+        service = self.ctx.table.next_service(route)
+        key = arrival.key if route.session_affinity else ""
+        regions = allowed_regions(route, workspace)
+        region = self.ctx.region_for(service, key, regions)
         if key and region:
             self.ctx.record_key(service, region, key, now_s)
-        deadline_s = min(now_s + limit_s, self.ends_s)
-        row = ForwardRow(request_id, route, service, region, key, now_s, deadline_s)
-        if attempts_before_hop is not None:
+        deadline_s = min(now_s + self.limit_s(arrival, route), self.ends_s)
+        row = ForwardRow(
+            arrival.request_id,
+            route,
+            service,
+            region,
+            key,
+            now_s,
+            deadline_s,
+            workspace=workspace,
+            allowed_regions=regions,
+        )
+        if arrival.attempts_before_hop is not None:
             row.has_hopped = True
-            row.attempt_count = min(attempts_before_hop, route.max_attempts - 1)
+            row.attempt_count = min(arrival.attempts_before_hop, route.max_attempts - 1)
         else:
             # Only the first instance counts a request.
             self.ctx.count_request(service)
-        self.rows[request_id] = row
+        self.rows[row.request_id] = row
         self.queue.add(row)
         self.queue.dispatch_waiting(service, now_s)
 
+    @staticmethod
+    def limit_s(arrival, route):
+        """Return the longest time that a request may take in seconds."""
+        if arrival.timeout_s is None:
+            return route.timeout_s
+        return min(arrival.timeout_s, route.timeout_s)
+
     def on_caller_disconnect(self, request_id, now_s):
         """Cancel a request whose caller has disconnected.
 
@@ -372,11 +359,6 @@
         limits = self.ctx.rate_limits_by_service().get(row.service, ())
         return refusal_reason(row, slots, self.ctx.view.revision, limits)
 
-    def _refuse(self, request_id, reason, detail, after_s):
-        """Refuse a request that was not admitted."""
-        problem = Problem(request_id, 503, NOT_RUN, detail, after_s, reason)
-        self.ctx.queue_action(problem)
-
     def _end_attempt(self, row):
         attempt, row.attempt = row.attempt, None
         if attempt is not None:
--- a/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
@@ -88,5 +88,6 @@
         "service": row.service,
         "region_share": row.region,
         "object": row.key,
+        **({"workspace": row.workspace.name} if row.workspace is not None else {}),
         "revision": revision,
     }
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -74,6 +74,8 @@
         has_hopped: True when another entry instance sent it here; it takes no
             second hop.
         hop_count: Number of hops that were started.
+        workspace: Its :class:`Workspace`, or None.
+        allowed_regions: Regions that may serve it, empty for all.
     """
 
     request_id: int
@@ -95,6 +97,15 @@
     needs_permit: bool = False
     has_hopped: bool = False
     hop_count: int = 0
+    workspace: object = None
+    allowed_regions: tuple = ()
+
+    @property
+    def priority(self):
+        """Rank of the request, 0 for the most urgent."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
 
     def is_stalled(self, now_s, stall_timeout_s):
         """Return True when a retry is better than a further wait for the response."""
--- a/packages/snipebay-policy/src/snipebay_policy/permits.py
+++ b/packages/snipebay-policy/src/snipebay_policy/permits.py
@@ -117,12 +117,12 @@
         if owner is None:
             return self._decide(choice, SUSPECT_S, now_s)
         if owner == self.ctx.row.entry_id:
-            due_in_s = self._grant(limit, row.route.priority, choice.tier, now_s)
+            due_in_s = self._grant(limit, row.priority, choice.tier, now_s)
             return self._decide(choice, due_in_s, now_s)
         permit_id = next(self._ids)
         self._pending[permit_id] = _Pending(row, choice, owner, now_s)
         request = PermitRequest(
-            permit_id, limit.report(now_s), row.route.priority, choice.tier
+            permit_id, limit.report(now_s), row.priority, choice.tier
         )
         self.ctx.queue_action(Send(owner, request))
         return Permission.PENDING
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -24,6 +24,7 @@
 from snipebay_policy.service_tables import ServiceTables
 from snipebay_policy.view_changes import view_changes
 from snipebay_policy.work import Send
+from snipebay_policy.workspaces.keys import WorkspaceTable
 
 __all__ = ["RoutedConfig", "RoutedCore"]
 
@@ -76,6 +77,7 @@
     Attributes:
         view: Newest :class:`View` received.
         table: :class:`RouteTable` of the plan in force, or None.
+        workspaces: :class:`WorkspaceTable` of the plan in force.
         fleet: Backend servers.
         reach: Whether backend servers are reached from here.
         hop_table: Entry instances to send requests through when they are not.
@@ -90,6 +92,7 @@
         self.region = cfg.row.region
         self.view = View()
         self.table = None
+        self.workspaces = WorkspaceTable()
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
         self.rate_limits = RateLimitTable(self.record_event)
         self.reach = ReachMonitor()
@@ -327,6 +330,7 @@
         is_new_plan = view.plan is not self.view.plan and view.plan is not None
         if is_new_plan:
             self.table = RouteTable(view.plan, self.table, self.row.entry_id)
+            self.workspaces = WorkspaceTable(view.plan.workspaces)
         for event, subject, fields in view_changes(self.view, view, source):
             self.record_event(event, subject, **fields)
         self.view = view
--- a/packages/snipebay-policy/src/snipebay_policy/work.py
+++ b/packages/snipebay-policy/src/snipebay_policy/work.py
@@ -119,6 +119,7 @@
         reason: Inputs of the decision, for the log.
         attempts_before_hop: For a hop, number of earlier attempts; None for a
             backend server.
+        workspace: Name of the request's workspace, or empty.
     """
 
     request_id: int
@@ -127,6 +128,7 @@
     deadline_s: float
     reason: dict = attrs.Factory(dict)
     attempts_before_hop: int | None = None
+    workspace: str = ""
 
 
 @attrs.frozen
--- a/packages/snipebay-policy/tests/test_split_rooms.py
+++ b/packages/snipebay-policy/tests/test_split_rooms.py
@@ -8,6 +8,7 @@
 from snipebay_model.messages import RenewReply
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
+from snipebay_policy.arrivals import Arrival
 from snipebay_policy.routed import RoutedConfig, RoutedCore
 from snipebay_policy.work import Dispatch, Problem
 
@@ -64,7 +65,8 @@
         for core in cores:
             for _ in range(requests):
                 request_id = next(self.ids)
-                core.forward.on_request(request_id, "a.example", "/x", 5.0, arrived_s)
+                arrival = Arrival(request_id, "a.example", "/x", 5.0)
+                core.forward.on_request(arrival, arrived_s)
             core.tick(self.now_s)
             for action in core.pop_actions():
                 if isinstance(action, Dispatch):
--- a/packages/snipebay-policy/tests/test_sums_over_instances.py
+++ b/packages/snipebay-policy/tests/test_sums_over_instances.py
@@ -5,6 +5,7 @@
 from snipebay_model.messages import RenewReply
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
+from snipebay_policy.arrivals import Arrival
 from snipebay_policy.fleet import COLD_OWNERS, COLD_RATE_SHARE, Fleet
 from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.routed import RoutedConfig, RoutedCore
@@ -57,13 +58,17 @@
         self.assertEqual(fleet.max_connections("i", 9), 3)
 
 
+def arrive(**fields):
+    return Arrival(1, "a.example", "/x", 5.0, **fields)
+
+
 class TestFewConnections(unittest.TestCase):
     """Fewer connections than instances: some have a connection to no backend server."""
 
     COUNT, LIMIT = 185, 3
 
     def dispatch(self, core):
-        core.forward.on_request(1, "a.example", "/x", 5.0, 0.0)
+        core.forward.on_request(arrive(), 0.0)
         return next(a for a in core.pop_actions() if isinstance(a, Dispatch | Problem))
 
     def start(self, limit):
@@ -90,7 +95,7 @@
             for c in self.start(self.LIMIT)
             if c.fleet.lacks_connections("s", self.LIMIT)
         )
-        core.forward.on_request(1, "a.example", "/x", 5.0, 0.0, attempts_before_hop=1)
+        core.forward.on_request(arrive(attempts_before_hop=1), 0.0)
         core.tick(1.0)
         actions = core.pop_actions()
         self.assertFalse([a for a in actions if isinstance(a, Dispatch)])
@@ -99,7 +104,7 @@
 
     def test_no_hop_while_no_instance_may_connect(self):
         core = self.start(0)[0]
-        core.forward.on_request(1, "a.example", "/x", 5.0, 0.0)
+        core.forward.on_request(arrive(), 0.0)
         self.assertFalse([a for a in core.pop_actions() if isinstance(a, Dispatch)])
 
 
--- a/packages/snipebay-testbed/src/snipebay_testbed/forward_case.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/forward_case.py
@@ -6,6 +6,7 @@
 from snipebay_model.messages import RenewReply
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
+from snipebay_policy.arrivals import Arrival
 from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.routed import RoutedConfig, RoutedCore
 from snipebay_policy.work import Dispatch, Send
@@ -45,9 +46,8 @@
         return [a for a in found if isinstance(a, kinds)] if kinds else found
 
     def arrive(self, request_id=1, path="/a/x", timeout_s=5.0):
-        self.core.forward.on_request(
-            request_id, "a.example", path, timeout_s, self.now_s
-        )
+        arrival = Arrival(request_id, "a.example", path, timeout_s)
+        self.core.forward.on_request(arrival, self.now_s)
         return self.actions()
 
     def send(self, request_id=1, path="/a/x", timeout_s=5.0):
--- a/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
@@ -9,6 +9,7 @@
 from snipebay_model.messages import ApplyPlan, PutBackend
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow
+from snipebay_policy.arrivals import Arrival
 from snipebay_policy.forward_rows import ForwardRules
 from snipebay_policy.routed import RoutedConfig, RoutedCore
 from snipebay_policy.work import Cancel, Dispatch, Probe, Problem, Relay, Send
@@ -132,7 +133,7 @@
         path = self.paths[request_id] = PREFIX if idempotent else UNSAFE_PREFIX
         self.run(
             lambda: self.core.forward.on_request(
-                request_id, HOST, path, timeout_s, self.rig.now_s
+                Arrival(request_id, HOST, path, timeout_s), self.rig.now_s
             )
         )
 
@@ -218,10 +219,10 @@
         request_id = next(self.rig.ids)
         self.hops[request_id] = attempt
         path = attempt.host.paths[attempt.request_id]
-        now_s = self.rig.now_s
-        self.core.forward.on_request(
-            request_id, HOST, path, 2.0, now_s, "", attempts_before_hop
+        arrival = Arrival(
+            request_id, HOST, path, 2.0, attempts_before_hop=attempts_before_hop
         )
+        self.core.forward.on_request(arrival, self.rig.now_s)
 
     def cancel(self, attempt):
         """Cancel a request that another instance sent through this one."""
