--- a/packages/snipebay-model/src/snipebay_model/commands.py
+++ b/packages/snipebay-model/src/snipebay_model/commands.py
@@ -10,6 +10,7 @@
     "Abort",
     "ApplyPlan",
     "ApplySettings",
+    "ApplyWorkspacePlan",
     "Claim",
     "Evacuate",
     "Finish",
@@ -60,6 +61,24 @@
     plan: Plan
 
 
+@attrs.frozen
+class ApplyWorkspacePlan:
+    """Does the same for a plan with workspaces.
+
+    Builds without workspaces can't decode it. They would otherwise apply the plan
+    without them, and serve its routes to callers without a key.
+
+    Attributes:
+        digest: Digest of the change as it was sent, to recognize a repeated call.
+        base_version: Version that the change builds on, 0 for none.
+        plan: The plan after the change.
+    """
+
+    digest: str
+    base_version: int
+    plan: Plan
+
+
 @attrs.frozen
 class Evacuate:
     """Stops requests to the backend servers of a failure domain, or resumes them.
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -7,6 +7,7 @@
     Abort,
     ApplyPlan,
     ApplySettings,
+    ApplyWorkspacePlan,
     Claim,
     Evacuate,
     Finish,
@@ -17,6 +18,13 @@
     RemoveBackend,
     RemoveEntry,
 )
+from snipebay_model.credits import (
+    CreditPart,
+    CreditReply,
+    CreditReport,
+    CreditRequest,
+)
+from snipebay_model.load_news import LoadNews, LoadRow
 from snipebay_model.loans import LoanReply, LoanRequest, LoanReturn, PeerBeat
 from snipebay_model.permits import PermitReply, PermitRequest, RateLimitReport
 from snipebay_model.view import EntryRow, ViewDelta
@@ -28,13 +36,20 @@
     "AppendRequest",
     "ApplyPlan",
     "ApplySettings",
+    "ApplyWorkspacePlan",
     "Claim",
     "CommandReply",
     "CommandRequest",
+    "CreditPart",
+    "CreditReply",
+    "CreditReport",
+    "CreditRequest",
     "Evacuate",
     "Finish",
     "Hello",
     "HoldBackend",
+    "LoadNews",
+    "LoadRow",
     "LoanReply",
     "LoanRequest",
     "LoanReturn",
@@ -174,12 +189,14 @@
         match_index: On success, the last index known to match; otherwise the
             index from which the leader should retry.
         round_id: Echo of the request.
+        reads_workspaces: True if the follower can apply plans with workspaces.
     """
 
     term: int
     success: bool
     match_index: int
     round_id: int
+    reads_workspaces: bool = False
 
 
 @attrs.frozen
@@ -319,6 +336,9 @@
             the sender lately sent there, see :mod:`snipebay_model.key_sketch`.
         reads_plan_patches: True if the sender can apply patches of the plan and packed
             deltas. An older build can't, and would miss a change.
+        reads_workspaces: True if the sender can apply plans with workspaces. An older
+            build would serve them without asking for a key.
+        credit_reports: Use of the limits of workspaces.
     """
 
     row: EntryRow
@@ -334,6 +354,8 @@
     is_isolated: bool = False
     key_sketches: tuple[tuple[str, str, bytes], ...] = ()
     reads_plan_patches: bool = False
+    reads_workspaces: bool = False
+    credit_reports: tuple[CreditReport, ...] = ()
 
 
 @attrs.frozen
@@ -363,6 +385,7 @@
             :mod:`snipebay_model.packed_delta`.
         key_counts: Rows of service, region and the number of affinity keys that all
             instances send there; empty while too few have reported.
+        credit_parts: Parts of the limits of workspaces that the receiver may use.
     """
 
     leader: str
@@ -381,3 +404,4 @@
     isolated: tuple[str, ...] = ()
     key_counts: tuple[tuple[str, str, int], ...] = ()
     packed_delta: bytes = b""
+    credit_parts: tuple[CreditPart, ...] = ()
