Fail attempts whose response has a status above 599

An upstream in trouble was reported to send status 000. Here 000, 099 and status lines that aren't one already failed the attempt (502, or a retry): the parser rejects them. 600 and 999 passed it and were relayed as the answer.

test_response_status failed before for 600 and 999, also behind a 100 response; it passes now. All 220 tests of the node package pass.

--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -22,6 +22,8 @@
 KEEP_ALIVE_FRACTION = 0.6
 MAX_INFORMATIONAL_RESPONSES = 16
 MISDIRECTED_REQUEST = 421
+# Statuses beyond this have no meaning in HTTP (RFC 9110, section 15).
+MAX_STATUS = 599
 
 
 @attrs.frozen
@@ -290,6 +292,9 @@
         header_names = self.pool.header_names
         headers = dict(event.headers)
         mismatch = self._identify(event.headers)
+        if event.status_code > MAX_STATUS:
+            # The parser rejects lower ones and those that are no number.
+            mismatch = f"bad answer: status {event.status_code!r}"
         if mismatch is not None:
             self._fail(mismatch)
             self.stream.abort()
