Leases on the keys of workspaces, and plans with workspaces beside older builds

An instance that is cut off, frozen or restarted could serve a key after its revocation, and an older build would serve the routes of a plan with workspaces without keys. The clock of a routed node goes on during a suspension. A plan with workspaces is a command of its own.

--- a/packages/snipebay-control/src/snipebay_control/admission.py
+++ b/packages/snipebay-control/src/snipebay_control/admission.py
@@ -21,7 +21,7 @@
     """
     if not state.is_command(cmd):
         return Outcome("invalid", detail=f"{type(cmd).__name__!r} is not a command")
-    if isinstance(cmd, messages.ApplyPlan):
+    if isinstance(cmd, messages.ApplyPlan | messages.ApplyWorkspacePlan):
         return _admit_plan(state, cmd)
     if isinstance(cmd, messages.PutBackend):
         return _admit_backend(state, cmd.row, requires_known_service)
@@ -37,6 +37,9 @@
     if state.has_applied_plan(cmd.digest):
         return Outcome("ok", state.revision)
     errors = validate_plan(cmd.plan)
+    if cmd.plan.workspaces and isinstance(cmd, messages.ApplyPlan):
+        # A follower of an older build would apply it without the workspaces.
+        errors.append("workspaces: the command is for a plan without them")
     return Outcome("invalid", detail="; ".join(errors)) if errors else None
 
 
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -33,6 +33,7 @@
 from snipebay_control.telemetry import Telemetry
 from snipebay_control.update_pacing import UpdatePacer
 from snipebay_control.waiting_renewals import WaitingRenewals
+from snipebay_control.workspace_readers import workspace_refusal
 
 __all__ = ["RAFT_MESSAGES", "ControlConfig", "ControlCore"]
 
@@ -305,7 +306,9 @@
         )
         if isinstance(cmd, messages.PutBackend) and outcome and outcome.code == "ok":
             self._grant_backend(cmd.row)
-        return outcome
+        return outcome or workspace_refusal(
+            cmd, self.raft, self.state, self.sessions, self._now_s
+        )
 
     def _propose(self, cmd):
         return self._propose_encoded(*encode_body(cmd))
--- a/packages/snipebay-control/src/snipebay_control/entry_replies.py
+++ b/packages/snipebay-control/src/snipebay_control/entry_replies.py
@@ -38,6 +38,7 @@
             granted=known,
             sent_ms=msg.sent_ms,
             reads_plan_patches=msg.reads_plan_patches,
+            reads_workspaces=msg.reads_workspaces,
         )
         limits = self.rate_limits.reports(msg.rate_limits_version, self._now_s)
         reply = attrs.evolve(
@@ -63,9 +64,17 @@
             self._propose_once(PutEntry(row))
 
     def _renew_reply(
-        self, region, base, *, granted, sent_ms=0, reads_plan_patches=False
+        self,
+        region,
+        base,
+        *,
+        granted,
+        sent_ms=0,
+        reads_plan_patches=False,
+        reads_workspaces=False,
     ):
-        packed = self.state.packed_delta(base) if reads_plan_patches else b""
+        reads = {"reads_workspaces": reads_workspaces}
+        packed = self.state.packed_delta(base, **reads) if reads_plan_patches else b""
         return RenewReply(
             leader=self.leader_id,
             granted=granted,
@@ -76,7 +85,9 @@
             delta=(
                 None
                 if packed
-                else self.state.delta(base, reads_plan_patches=reads_plan_patches)
+                else self.state.delta(
+                    base, reads_plan_patches=reads_plan_patches, **reads
+                )
             ),
             packed_delta=packed,
             drained=self._drained,
@@ -115,6 +126,7 @@
                     base,
                     granted=False,
                     reads_plan_patches=report.reads_plan_patches,
+                    reads_workspaces=report.reads_workspaces,
                 )
                 self._outbox.append((entry_id, reply))
             self._pushed_settled[entry_id] = settled
--- a/packages/snipebay-control/src/snipebay_control/plan_history.py
+++ b/packages/snipebay-control/src/snipebay_control/plan_history.py
@@ -27,6 +27,11 @@
             del self._replaced[oldest]
             self._patches.pop(oldest, None)
 
+    @property
+    def has_workspaces(self):
+        """True if any of the replaced plans that are kept has workspaces."""
+        return any(old and old.workspaces for old in self._replaced.values())
+
     def patches(self, revisions, plan):
         """Return the patches made at some revisions, oldest first.
 
--- a/packages/snipebay-control/src/snipebay_control/raft.py
+++ b/packages/snipebay-control/src/snipebay_control/raft.py
@@ -102,6 +102,8 @@
         match_index: Highest index known to be stored by the member.
         acked_s: Send time of the newest round that the member acknowledged.
         acked_round: Newest round that the member acknowledged.
+        reads_workspaces: True if the member can apply plans with workspaces, None
+            before its first reply.
     """
 
     next_index: int
@@ -109,6 +111,7 @@
     match_index: int = 0
     acked_s: float = float("-inf")
     acked_round: int = 0
+    reads_workspaces: bool | None = None
 
 
 class Raft:
@@ -191,6 +194,21 @@
         progress = self._progress.get(node)
         return progress is not None and self._now_s - progress.acked_s <= seconds
 
+    def reads_workspaces(self, node):
+        """Return True unless a member heard from may be of a build without workspaces.
+
+        A vote counts as heard from, and only later replies tell what the member reads.
+        """
+        progress = self._progress.get(node)
+        if node == self.node or progress is None:
+            return True
+        is_unheard = progress.acked_s == float("-inf")
+        return (
+            is_unheard
+            if progress.reads_workspaces is None
+            else progress.reads_workspaces
+        )
+
     def is_unreachable(self, node, seconds):
         """Return True if a member missed this leader's heartbeats for that time."""
         progress = self._progress.get(node)
@@ -498,6 +516,7 @@
             progress.acked_s = max(progress.acked_s, sent_s)
             progress.acked_round = max(progress.acked_round, msg.round_id)
             self._confirm_reads()
+        progress.reads_workspaces = msg.reads_workspaces
         if not msg.success:
             hint = min(msg.match_index, progress.next_index - 1)
             progress.next_index = max(hint, progress.match_index) + 1
@@ -550,19 +569,18 @@
 
     def _on_append_request(self, sender, msg):
         if msg.term < self.term:
-            self._send(sender, AppendReply(self.term, False, 0, msg.round_id))
+            self._reply_append(sender, msg, False, 0)
             return
         self._accept_leader(sender, msg.term)
         if msg.prev_index < self.log.snapshot.index:
             # Entries up to the snapshot are committed, so this log contains them.
-            reply = AppendReply(self.term, True, self.commit_index, msg.round_id)
             if not msg.entries or msg.entries[-1].index <= self.log.snapshot.index:
-                self._send(sender, reply)
+                self._reply_append(sender, msg, True, self.commit_index)
                 return
         elif self.log.term(msg.prev_index) != msg.prev_term:
             hint = min(self.log.last_index, max(msg.prev_index - 1, 0))
             hint = max(min(hint, self._conflict_hint(msg)), self.commit_index)
-            self._send(sender, AppendReply(self.term, False, hint, msg.round_id))
+            self._reply_append(sender, msg, False, hint)
             return
         new = [
             entry
@@ -574,7 +592,13 @@
             self._append([e for e in msg.entries if e.index >= new[0].index])
         match = msg.entries[-1].index if msg.entries else msg.prev_index
         self.commit_index = max(self.commit_index, min(msg.commit, match))
-        self._send(sender, AppendReply(self.term, True, match, msg.round_id))
+        self._reply_append(sender, msg, True, match)
+
+    def _reply_append(self, sender, msg, success, match_index):
+        reply = AppendReply(
+            self.term, success, match_index, msg.round_id, reads_workspaces=True
+        )
+        self._send(sender, reply)
 
     def _conflict_hint(self, msg):
         """Return the index before the conflicting term, to skip it as a whole."""
@@ -586,16 +610,14 @@
 
     def _on_snapshot_request(self, sender, msg):
         if msg.term < self.term:
-            self._send(sender, AppendReply(self.term, False, 0, msg.round_id))
+            self._reply_append(sender, msg, False, 0)
             return
         self._accept_leader(sender, msg.term)
         if msg.index > self.commit_index:
             self._install_snapshot(
                 Snapshot(msg.index, msg.last_term, msg.members, msg.data)
             )
-        self._send(
-            sender, AppendReply(self.term, True, self.commit_index, msg.round_id)
-        )
+        self._reply_append(sender, msg, True, self.commit_index)
 
     def _install_snapshot(self, snapshot):
         self.log.reset(snapshot)
--- a/packages/snipebay-control/src/snipebay_control/sessions.py
+++ b/packages/snipebay-control/src/snipebay_control/sessions.py
@@ -109,6 +109,18 @@
         )
         return now_s < expires_s
 
+    def without_workspaces(self, state, now_s):
+        """Return the ids of live entry instances that may not read workspaces.
+
+        One that has not reported to this leader yet counts as such.
+        """
+        reports = {
+            entry_id: self._report(row)
+            for entry_id, row in sorted(state.entries.items())
+            if self.is_live(entry_id, now_s)
+        }
+        return [i for i, msg in reports.items() if not (msg and msg.reads_workspaces)]
+
     def expired_backends(self, state, now_s):
         """Return rows of backend servers with an expired lease."""
         return [
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -9,13 +9,14 @@
 from snipebay_model.codec import decode_body
 from snipebay_model.messages import Outcome
 from snipebay_model.packed_delta import pack_delta
-from snipebay_model.plan import Plan, PlanReading
+from snipebay_model.plan import PlanReading
 from snipebay_model.status import ChangeStatus
-from snipebay_model.view import BackendRow, EntryRow, View, ViewDelta
+from snipebay_model.view import View, ViewDelta
 
-from snipebay_control.claims import ClaimRow, ClaimTable
+from snipebay_control.claims import ClaimTable
 from snipebay_control.plan_history import PlanHistory
-from snipebay_control.registry import Registry, Tombstone
+from snipebay_control.registry import Registry
+from snipebay_control.state_image import StateImage
 
 __all__ = ["ControlState"]
 
@@ -28,43 +29,6 @@
 MAX_READ_DIGESTS = 256
 
 
-@attrs.define
-class _Image:
-    """Full state as stored in a snapshot.
-
-    Attributes:
-        revision: Revision of the view.
-        settings_revision: Revision that last changed the settings.
-        settings: Text of the settings.
-        now_ms: Cluster time.
-        backends: Backend servers.
-        entries: Entry instances.
-        changes: Newest changes of the settings.
-        change_outcomes: First outcomes by change id, for retries.
-        claims: Idempotency keys.
-        plan: Traffic plan, or None before the first one.
-        plan_digests: Digests of the accepted plan changes.
-        evacuated: Evacuated failure domains.
-        tombstones: Withdrawn incarnations of backend servers.
-        withdrawals: Ids of backend servers and log indices of their withdrawals.
-    """
-
-    revision: int
-    settings_revision: int
-    settings: str
-    now_ms: int
-    backends: list[BackendRow]
-    entries: list[EntryRow]
-    changes: list[ChangeStatus]
-    change_outcomes: list[tuple[str, Outcome]]
-    claims: list[ClaimRow]
-    plan: Plan | None = None
-    plan_digests: list[str] = attrs.Factory(list)
-    evacuated: list[str] = attrs.Factory(list)
-    tombstones: list[Tombstone] = attrs.Factory(list)
-    withdrawals: list[tuple[str, int]] = attrs.Factory(list)
-
-
 class ControlState:
     """Replicated state machine, the same on all instances at the same log index.
 
@@ -95,6 +59,7 @@
         self._handlers = {
             messages.ApplySettings: self._apply_settings,
             messages.ApplyPlan: self._apply_plan,
+            messages.ApplyWorkspacePlan: self._apply_plan,
             messages.Evacuate: self._evacuate,
             messages.PutBackend: self._put_backend,
             messages.HoldBackend: self._hold_backend,
@@ -120,7 +85,10 @@
 
     def dump(self):
         """Return the encoded state for a snapshot."""
-        image = _Image(
+        plan, workspace_plan = self.plan, None
+        if self.has_workspaces:
+            plan, workspace_plan = None, plan
+        image = StateImage(
             self.revision,
             self.settings_revision,
             self.settings,
@@ -130,11 +98,12 @@
             list(self.changes),
             list(self._change_outcomes.items()),
             list(self.claims.rows.values()),
-            self.plan,
+            plan,
             list(self._plan_digests),
             sorted(self.evacuated),
             list(self.registry.tombstones.values()),
             list(self.registry.withdrawals.items()),
+            workspace_plan,
         )
         return msgspec.msgpack.encode(image)
 
@@ -144,13 +113,13 @@
         state = cls()
         if not data:
             return state
-        image = msgspec.msgpack.decode(data, type=_Image)
+        image = msgspec.msgpack.decode(data, type=StateImage)
         state.revision = image.revision
         state.settings_revision = image.settings_revision
         state.settings = image.settings
         state.now_ms = image.now_ms
         state.registry.load(image.backends, image.tombstones, image.withdrawals)
-        state.plan = image.plan
+        state.plan = image.workspace_plan or image.plan
         state._plan_digests.update(dict.fromkeys(image.plan_digests))
         state.evacuated = set(image.evacuated)
         state.entries = {row.entry_id: row for row in image.entries}
@@ -165,7 +134,12 @@
         """Return the view at the current revision."""
         return View().apply(self._full_delta())
 
-    def delta(self, base, *, reads_plan_patches=False):
+    @property
+    def has_workspaces(self):
+        """True if the traffic plan has workspaces."""
+        return self.plan is not None and bool(self.plan.workspaces)
+
+    def delta(self, base, *, reads_plan_patches=False, reads_workspaces=False):
         """Return the changes since a revision, or None if there are none.
 
         The delta contains the full view if the journal doesn't reach back to the
@@ -174,31 +148,48 @@
         Args:
             base: The revision.
             reads_plan_patches: True if the receiver can apply patches of the plan.
+            reads_workspaces: True if it can apply plans with workspaces. Other
+                receivers get such a plan without its routes.
         """
         if base >= self.revision:
             return None
-        key = base, reads_plan_patches
+        hides_routes = self._hides_routes(reads_workspaces)
+        key = base, reads_plan_patches, hides_routes
         if key not in self._deltas:
-            self._deltas[key] = self._compute_delta(base, reads_plan_patches)
+            self._deltas[key] = self._compute_delta(
+                base, reads_plan_patches, hides_routes
+            )
         return self._deltas[key]
 
-    def packed_delta(self, base):
+    def _hides_routes(self, reads_workspaces):
+        """Return True if a receiver must not get the routes, or patches of them.
+
+        It must not get patches either after a plan with workspaces was replaced, as it
+        has no routes to which they apply.
+        """
+        has_workspaces = self.has_workspaces or self._plan_history.has_workspaces
+        return has_workspaces and not reads_workspaces
+
+    def packed_delta(self, base, *, reads_workspaces=False):
         """Return the same for a receiver of patches as packed bytes, made only once.
 
         Returns:
             Empty if there is no change, or a short one.
         """
-        found = self.delta(base, reads_plan_patches=True)
+        found = self.delta(
+            base, reads_plan_patches=True, reads_workspaces=reads_workspaces
+        )
         if found is None:
             return b""
-        if base not in self._packed_deltas:
-            self._packed_deltas[base] = pack_delta(found)
-        return self._packed_deltas[base]
+        key = base, self._hides_routes(reads_workspaces)
+        if key not in self._packed_deltas:
+            self._packed_deltas[key] = pack_delta(found)
+        return self._packed_deltas[key]
 
-    def _compute_delta(self, base, reads_plan_patches):
+    def _compute_delta(self, base, reads_plan_patches, hides_routes):
         first = self._journal[0][0] if self._journal else self.revision + 1
         if base < first - 1:
-            return self._full_delta()
+            return self._full_delta(hides_routes)
         rows = {
             (table, row_id)
             for revision, table, row_id in self._journal
@@ -208,7 +199,9 @@
         entries = sorted(row_id for table, row_id in rows if table == "entries")
         settings_changed = ("settings", "") in rows
         plan_changed = ("plan", "") in rows
+        reads_plan_patches = reads_plan_patches and not hides_routes
         patches = self._plan_patches(base) if reads_plan_patches else None
+        plan = self._plan_for_entries(hides_routes)
         return ViewDelta(
             base=base,
             revision=self.revision,
@@ -218,14 +211,14 @@
             backends_gone=tuple(i for i in backends if i not in self.backends),
             entries=tuple(self.entries[i] for i in entries if i in self.entries),
             entries_gone=tuple(i for i in entries if i not in self.entries),
-            plan=self._plan_for_entries() if plan_changed and not patches else None,
+            plan=plan if plan_changed and not patches else None,
             evacuated=(
                 tuple(sorted(self.evacuated)) if ("evacuated", "") in rows else None
             ),
             plan_patches=patches or (),
         )
 
-    def _full_delta(self):
+    def _full_delta(self, hides_routes=False):
         return ViewDelta(
             base=0,
             revision=self.revision,
@@ -234,7 +227,7 @@
             settings_revision=self.settings_revision,
             backends=tuple(self.backends.values()),
             entries=tuple(self.entries.values()),
-            plan=self._plan_for_entries(),
+            plan=self._plan_for_entries(hides_routes),
             evacuated=tuple(sorted(self.evacuated)),
         )
 
@@ -247,8 +240,13 @@
         ]
         return self._plan_history.patches(revisions, self.plan) if revisions else None
 
-    def _plan_for_entries(self):
-        return self.plan.without_source() if self.plan else None
+    def _plan_for_entries(self, hides_routes):
+        if not self.plan:
+            return None
+        plan = self.plan.without_source()
+        if hides_routes and plan.workspaces:
+            return attrs.evolve(plan, routes=(), workspaces=())
+        return plan
 
     def _record_change(self, table, row_id=""):
         """Journal a change for the deltas and return its new revision."""
--- a/packages/snipebay-node/src/snipebay_node/control_client.py
+++ b/packages/snipebay-node/src/snipebay_node/control_client.py
@@ -19,6 +19,11 @@
 UNAVAILABLE = Outcome(
     "unavailable", detail="control has no leader that a quorum confirms"
 )
+# Answer of a leader whose build has no workspaces.
+UNKNOWN_COMMAND = f"unknown message kind {messages.ApplyWorkspacePlan.__name__!r}"
+LEADER_IS_OLDER = Outcome(
+    "busy", detail="the leader runs an older build, which can't read workspaces"
+)
 
 
 @attrs.define
@@ -53,7 +58,15 @@
 
     def apply_plan(self, plan, base_version, digest, done):
         """Replace the plan if its current version is ``base_version``."""
-        self._command(messages.ApplyPlan(digest, base_version, plan), done)
+        if not plan.workspaces:
+            self._command(messages.ApplyPlan(digest, base_version, plan), done)
+            return
+
+        def finish(outcome):
+            is_older = outcome.code == "invalid" and outcome.detail == UNKNOWN_COMMAND
+            done(LEADER_IS_OLDER if is_older else outcome)
+
+        self._command(messages.ApplyWorkspacePlan(digest, base_version, plan), finish)
 
     def evacuate(self, domain, evacuated, done, base_index):
         """Start or end the evacuation of a failure domain.
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -13,7 +13,7 @@
 from snipebay_model.units import HEAD_LIMIT_BYTES
 
 from snipebay_node.exchange import Exchange
-from snipebay_node.rejections import encode_rejection, framing_error
+from snipebay_node.rejections import encode_rejection, framing_error, parse_error_detail
 
 __all__ = ["STOP_IDLE_DELAY_S", "HttpServer"]
 
@@ -154,7 +154,7 @@
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as exc:
-            self._reject(exc.error_status_hint or 400, str(exc))
+            self._reject(exc.error_status_hint or 400, parse_error_detail(exc))
         finally:
             self._is_parsing = False
 
--- a/packages/snipebay-node/src/snipebay_node/rejections.py
+++ b/packages/snipebay-node/src/snipebay_node/rejections.py
@@ -1,10 +1,12 @@
 """Requests that are rejected before they reach an application."""
 
+import re
+
 import h11
 
 from snipebay_node.exchange import PROBLEM_TYPE, problem_body
 
-__all__ = ["encode_rejection", "framing_error"]
+__all__ = ["encode_rejection", "framing_error", "parse_error_detail"]
 
 
 def encode_rejection(parser, status, detail):
@@ -21,6 +23,14 @@
     return b"".join(parser.send(event) for event in events)
 
 
+def parse_error_detail(exc):
+    """Return what an error of the parser says, without the bytes that it quotes.
+
+    The line that it can't read may hold a key.
+    """
+    return re.split(r"[ :(]*(?:bytearray\(|b['\"])", str(exc))[0]
+
+
 def framing_error(exchange):
     """Return why a request's framing is rejected, or an empty string."""
     lengths = [v for name, v in exchange.headers if name == b"content-length"]
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-import time
 
 import attrs
 import structlog
@@ -22,6 +21,7 @@
     CONTROL_PEER_MESSAGES,
     ActionLoop,
 )
+from snipebay_node.boot_clock import boot_time_s
 from snipebay_node.change_log import ChangeLog
 from snipebay_node.control_client import ControlClient
 from snipebay_node.forwarder import Forwarder
@@ -68,11 +68,11 @@
     def __init__(self, settings):
         super().__init__()
         self.settings = settings
-        self.clock = time.monotonic
+        self.clock = boot_time_s
         self.metrics = NodeMetrics()
         self.changes = ChangeLog(log)
         self.poller = EPoll().register(self)
-        self.hub = StreamHub(self.poller).register(self)
+        self.hub = StreamHub(self.poller, self.clock).register(self)
         self.servers = []
         self.storage = None
         self.control = None
--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -166,13 +166,18 @@
 
     It replaces the clients of ``circuits.net``, which block while connecting: one
     unresponsive backend server would delay every request.
+
+    Args:
+        poller: Poller of the process.
+        clock: Function returning the time in seconds, as passed to :meth:`tick`.
     """
 
     channel = "streams"
 
-    def __init__(self, poller):
+    def __init__(self, poller, clock=time.monotonic):
         super().__init__()
         self.poller = poller
+        self.clock = clock
         self._streams = {}
         self._listeners = {}
         self._lingering = {}
@@ -241,7 +246,7 @@
             return
         self.watch_writes(stream, False)
         self.poller.addReader(self, stream.sock)
-        self._lingering[stream.sock] = time.monotonic() + LINGER_TIMEOUT_S
+        self._lingering[stream.sock] = self.clock() + LINGER_TIMEOUT_S
 
     def accept_waiting(self):
         """Accept connections that wait in the kernel; return True if none is left."""
--- a/packages/snipebay-policy/src/snipebay_policy/arrivals.py
+++ b/packages/snipebay-policy/src/snipebay_policy/arrivals.py
@@ -58,6 +58,10 @@
         return Problem(request_id, 404, NOT_RUN, detail, reason="no_route")
     workspace = None
     if ctx.workspaces and not route.is_public:
+        if not ctx.config_lease.is_valid(now_s):
+            detail = "control has not confirmed the keys of the workspaces lately"
+            after_s = forward.queue.retry_delays.startup_s()
+            return _refusal(request_id, "stale_config", detail, after_s)
         workspace = ctx.workspaces.find(arrival.credential)
         if workspace is None:
             detail = "the key is missing or belongs to no workspace"
--- a/packages/snipebay-policy/src/snipebay_policy/retry_delay.py
+++ b/packages/snipebay-policy/src/snipebay_policy/retry_delay.py
@@ -76,7 +76,7 @@
         return self._spread(min(MAX_DELAY_S, expected_s))
 
     def startup_s(self):
-        """Return the delay for a caller that came before the first traffic plan."""
+        """Return the delay for a caller that came while no traffic plan is usable."""
         return self._spread(STARTUP_DELAY_S)
 
     def _spread(self, expected_s):
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -25,6 +25,7 @@
 from snipebay_policy.view_changes import view_changes
 from snipebay_policy.work import Send
 from snipebay_policy.workspaces.keys import WorkspaceTable
+from snipebay_policy.workspaces.lease import ConfigLease
 
 __all__ = ["RoutedConfig", "RoutedCore"]
 
@@ -54,6 +55,8 @@
         max_spill_share: Share of requests that may leave the region assigned to
             them.
         forward: Rules of forwarding.
+        revoke_s: Time within which a revoked key ceases to be served, also at an
+            instance that is cut off from control; None for no such limit.
     """
 
     row: object
@@ -63,6 +66,7 @@
     max_shift_per_s: float = 0.05
     max_spill_share: float = 0.05
     forward: ForwardRules = ForwardRules()
+    revoke_s: float | None = None
 
 
 class RoutedCore(ServiceTables, ActionQueue):
@@ -78,6 +82,7 @@
         view: Newest :class:`View` received.
         table: :class:`RouteTable` of the plan in force, or None.
         workspaces: :class:`WorkspaceTable` of the plan in force.
+        config_lease: :class:`ConfigLease` on the keys of the workspaces.
         fleet: Backend servers.
         reach: Whether backend servers are reached from here.
         hop_table: Entry instances to send requests through when they are not.
@@ -93,6 +98,7 @@
         self.view = View()
         self.table = None
         self.workspaces = WorkspaceTable()
+        self.config_lease = ConfigLease(cfg.revoke_s)
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
         self.rate_limits = RateLimitTable(self.record_event)
         self.reach = ReachMonitor()
@@ -264,7 +270,9 @@
             is_isolated=self.reach.is_isolated,
             key_sketches=self.read_key_sketches(now_s),
             reads_plan_patches=True,
+            reads_workspaces=True,
         )
+        self.config_lease.record_sent(report.sent_ms, now_s)
         self.queue_action(Send(target, report))
 
     def _sample_needs(self, now_s):
@@ -303,6 +311,8 @@
         delta = self._read_delta(msg)
         if delta is not None and delta.base <= self.view.revision:
             self._apply_delta(delta, now_s, sender)
+        if msg.sent_ms and self.view.revision >= msg.quorum_revision:
+            self.config_lease.confirm(msg.sent_ms)
         self.hop_table.update_isolated(msg.isolated)
         version = msg.rate_limits_version
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/view_changes.py
+++ b/packages/snipebay-policy/src/snipebay_policy/view_changes.py
@@ -22,7 +22,8 @@
 def _plan_changes(old, new):
     if new.plan is not None and new.plan is not old.plan:
         version = new.plan.version
-        yield "traffic plan in force", str(version), {"revision": new.revision}
+        fields = {"revision": new.revision, "workspaces": len(new.plan.workspaces)}
+        yield "traffic plan in force", str(version), fields
 
 
 def _evacuation_changes(old, new, source):
