--- a/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
@@ -92,7 +92,8 @@
         """Start the process, with a new incarnation."""
         self._start_count += 1
         row = attrs.evolve(self.row, incarnation=f"run{self._start_count}")
-        cfg = RoutedConfig(row, forward=ForwardRules(retry_slack=0.0))
+        rules = ForwardRules(retry_slack=0.0)
+        cfg = RoutedConfig(row, forward=rules, revoke_s=self.rig.revoke_s)
         self.core = RoutedCore(cfg, tuple(self.rig.control.hosts))
         self.rig.network.receivers[self.id] = self._receive
         self._tick(self._start_count)
@@ -126,16 +127,18 @@
         callback(*args)
         self._run_actions()
 
-    def request(self, timeout_s=2.5, *, idempotent=True):
-        """Send a request as a caller."""
+    def request(self, timeout_s=2.5, *, idempotent=True, credential=b""):
+        """Send a request as a caller, and return its id."""
         request_id = next(self.rig.ids)
         self.tries[request_id] = (self.rig.now_s, False)
         path = self.paths[request_id] = PREFIX if idempotent else UNSAFE_PREFIX
         self.run(
             lambda: self.core.forward.on_request(
-                Arrival(request_id, HOST, path, timeout_s), self.rig.now_s
+                Arrival(request_id, HOST, path, timeout_s, credential=credential),
+                self.rig.now_s,
             )
         )
+        return request_id
 
     def respond(self, attempt, backend, *, is_rejected=False):
         """Deliver a backend server's response after the delay of the link."""
@@ -310,13 +313,15 @@
         entries: Number of entry instances, over three regions of two domains.
         backends: Number of backend servers, spread likewise.
         seed: Random seed.
+        revoke_s: Time for the revocation of a key, None if it is not bounded.
 
     Attributes:
         runs: How often each request was started by a backend server, by its id at
             the first instance.
     """
 
-    def __init__(self, entries, backends, seed):
+    def __init__(self, entries, backends, seed, revoke_s=None):
+        self.revoke_s = revoke_s
         ids = ("c1", "c2", "c3")
         leases = LeaseTiming(
             completion_grace_s=0.0,
