--- a/packages/snipebay-policy/tests/test_workspaces.py
+++ b/packages/snipebay-policy/tests/test_workspaces.py
@@ -61,6 +61,12 @@
         self.apply_plan()
         self.assertEqual(self.ask(), "")
 
+    def test_log_line_of_a_plan_gives_the_number_of_workspaces(self):
+        self.core.pop_events()
+        self.apply_plan(WORKSPACE, Workspace("v"))
+        found = [fields for event, _, fields in self.core.pop_events()]
+        self.assertEqual([fields["workspaces"] for fields in found], [2])
+
     def test_instance_without_a_plan_never_says_that_a_key_is_unknown(self):
         core = RoutedCore(RoutedConfig(self.core.row), ("c1",))
         self.assertEqual(self.ask(b"x", core=core), (503, "no_plan"))
--- a/packages/snipebay-testbed/tests/landed_build.py
+++ b/packages/snipebay-testbed/tests/landed_build.py
@@ -7,13 +7,16 @@
 import sys
 
 import attrs
+import msgspec
 import numpy as np
 from snipebay_control.core import ControlConfig, ControlCore
 from snipebay_control.raft_log import PersistentState
 from snipebay_control.state import ControlState
 from snipebay_model import messages
-from snipebay_model.codec import Envelope, decode, encode, encode_body
-from snipebay_model.view import BackendRow
+from snipebay_model.codec import CodecError, Envelope, decode, encode, encode_body
+from snipebay_model.plan import Plan, Route, RoutedService
+from snipebay_model.view import BackendRow, EntryRow, View
+from snipebay_policy.routed import RoutedConfig, RoutedCore
 
 FIELDS = {field.name for field in attrs.fields(messages.CommandRequest)}
 
@@ -52,6 +55,103 @@
     return core
 
 
+def plan_command(with_workspaces=False):
+    """Return the command for a plan of two routes."""
+    split = (("s", 1.0),)
+    routes = tuple(
+        Route(f"r{n}", "a.example", f"/{n}/", True, 2.0, 0.5, 1, split)
+        for n in range(2)
+    )
+    plan = Plan(1, routes, (RoutedService("s"),), source=b"{}")
+    if not with_workspaces:
+        return messages.ApplyPlan("d1", 0, plan)
+    from snipebay_model.workspace import Workspace
+
+    workspaces = (Workspace("w", (b"digest",)),)
+    plan = attrs.evolve(plan, version=2, workspaces=workspaces)
+    return messages.ApplyWorkspacePlan("d2", 1, plan)
+
+
+def plan_state(with_workspaces):
+    """Return a state in which a plan, or then one with workspaces, is in force."""
+    state = ControlState()
+    for flag in (False, True)[: 1 + with_workspaces]:
+        state.apply(*encode_body(plan_command(flag)))
+    return state
+
+
+def describe_plan(plan):
+    """Print what a plan holds, as far as both builds know it."""
+    if plan is None:
+        print("no plan")
+        return
+    workspaces = len(getattr(plan, "workspaces", ()))
+    print(f"version {plan.version} routes {len(plan.routes)} workspaces {workspaces}")
+
+
+def write_plan(name):
+    """Return a plan as a snapshot, as a command or in a reply to an older build."""
+    with_workspaces = "workspace-" in name
+    if name.startswith("dump"):
+        return plan_state(with_workspaces).dump()
+    if name.endswith("command"):
+        body = messages.CommandRequest(3, *encode_body(plan_command(with_workspaces)))
+    else:
+        state = plan_state(with_workspaces)
+        # The change as it goes to an instance that has the plan before it, if any.
+        delta = state.delta(int(with_workspaces), reads_plan_patches=True)
+        body = messages.RenewReply("c1", True, delta=delta)
+    return encode(Envelope("e-1", body))
+
+
+def read_plan(name, raw):
+    """Print the plan that results from what a build has written."""
+    if name == "load-plan":
+        describe_plan(ControlState.from_dump(raw).plan)
+        return
+    body = decode(raw).body
+    if name == "view":
+        old = View(1, plan=plan_command().plan) if body.delta.base else View()
+        describe_plan(old.apply(body.delta).plan)
+        return
+    state = plan_state(False) if b"ApplyWorkspacePlan" in raw else ControlState()
+    try:
+        state.apply(body.kind, body.data)
+    except CodecError as exc:
+        print(exc)
+    else:
+        describe_plan(state.plan)
+
+
+def make_statements():
+    """Return what an entry and a control instance send about themselves."""
+    row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
+    entry = RoutedCore(RoutedConfig(row), ("c1",))
+    entry.tick(1.0)
+    renew = next(
+        action.body
+        for action in entry.pop_actions()
+        if isinstance(action.body, messages.Renew)
+    )
+    raft = ControlCore(
+        ControlConfig("c1#a", ("c1",)),
+        PersistentState(),
+        np.random.default_rng(1),
+        0.0,
+    ).raft
+    raft.bootstrap({"c1#a": True, "c2#a": True})
+    raft.step("c2#a", messages.AppendRequest(1, 0, 0, 0, 1))
+    ((_, reply),) = raft.pop_ready().messages
+    frames = [encode(Envelope("x", body)) for body in (renew, reply)]
+    return msgspec.msgpack.encode(frames)
+
+
+def read_statements(raw):
+    """Print what both say about workspaces, None if this build has no such field."""
+    bodies = [decode(frame).body for frame in msgspec.msgpack.decode(raw)]
+    print(*(getattr(body, "reads_workspaces", None) for body in bodies))
+
+
 def describe(state):
     """Print what a state holds, as far as both builds know it."""
     print(
@@ -75,6 +175,14 @@
     elif name == "read":
         request = decode(raw[0]).body
         print(request.request_id, request.kind, getattr(request, "base_index", None))
+    elif name in ("load-plan", "apply", "view"):
+        read_plan(name, raw[0])
+    elif name == "statements":
+        sys.stdout.buffer.write(make_statements())
+    elif name == "read-statements":
+        read_statements(raw[0])
+    elif "plan" in name:
+        sys.stdout.buffer.write(write_plan(name))
     else:
         raise ValueError(f"no command {name!r}")
 
--- a/packages/snipebay-testbed/tests/test_landed_build.py
+++ b/packages/snipebay-testbed/tests/test_landed_build.py
@@ -8,6 +8,7 @@
 
 from snipebay_testbed.older_build import (
     BASELESS_COMMIT,
+    KEYLESS_COMMIT,
     LANDED_COMMIT,
     Build,
     BuildError,
@@ -79,5 +80,54 @@
     reads_base = writes_base = 7
 
 
+class TestKeylessBuild(LandedBuildCase, unittest.TestCase):
+    """A build without workspaces must not serve the routes of a plan with them."""
+
+    commit = KEYLESS_COMMIT
+    reads_base = writes_base = 7
+
+    def both_ways(self, writes, reads):
+        """Return what each build reads of what the other one writes."""
+        return (
+            self.exchange("landed", writes, "present", reads),
+            self.exchange("present", writes, "landed", reads),
+        )
+
+    def test_plan_without_workspaces_is_exchanged(self):
+        for writes, reads in (
+            ("dump-plan", "load-plan"),
+            ("plan-command", "apply"),
+            ("plan-reply", "view"),
+        ):
+            with self.subTest(writes=writes):
+                found = self.both_ways(writes, reads)
+                self.assertEqual(found, ("version 1 routes 2 workspaces 0",) * 2)
+
+    def test_plan_with_workspaces_is_hidden_in_snapshots(self):
+        writes = "dump-workspace-plan"
+        found = self.exchange("present", writes, "landed", "load-plan")
+        self.assertEqual(found, "no plan")
+        found = self.exchange("present", writes, "present", "load-plan")
+        self.assertEqual(found, "version 2 routes 2 workspaces 1")
+
+    def test_plan_with_workspaces_is_no_command_that_is_known(self):
+        writes = "workspace-plan-command"
+        found = self.exchange("present", writes, "landed", "apply")
+        self.assertEqual(found, "unknown message kind 'ApplyWorkspacePlan'")
+        found = self.exchange("present", writes, "present", "apply")
+        self.assertEqual(found, "version 2 routes 2 workspaces 1")
+
+    def test_plan_with_workspaces_reaches_instances_without_its_routes(self):
+        writes = "workspace-plan-reply"
+        found = self.exchange("present", writes, "landed", "view")
+        self.assertEqual(found, "version 2 routes 0 workspaces 0")
+
+    def test_only_the_present_build_says_that_it_reads_workspaces(self):
+        found = self.both_ways("statements", "read-statements")
+        self.assertEqual(found, ("False False", "None None"))
+        found = self.exchange("present", "statements", "present", "read-statements")
+        self.assertEqual(found, "True True")
+
+
 if __name__ == "__main__":
     unittest.main()
