--- a/packages/snipebay-control/src/snipebay_control/raft.py
+++ b/packages/snipebay-control/src/snipebay_control/raft.py
@@ -202,12 +202,9 @@
         progress = self._progress.get(node)
         if node == self.node or progress is None:
             return True
-        is_unheard = progress.acked_s == float("-inf")
-        return (
-            is_unheard
-            if progress.reads_workspaces is None
-            else progress.reads_workspaces
-        )
+        if progress.reads_workspaces is None:
+            return progress.acked_s == float("-inf")
+        return progress.reads_workspaces
 
     def is_unreachable(self, node, seconds):
         """Return True if a member missed this leader's heartbeats for that time."""
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/lease.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/lease.py
@@ -18,8 +18,8 @@
     """Time since which the view of an entry instance is known to be complete.
 
     A reply of the leader holds all changes that were acknowledged before the renewal
-    that it answers was sent. A key that was revoked after that is known to be valid
-    until the revocation takes effect, at the earliest.
+    that it answers was sent. A key that the view still holds can only have been revoked
+    later, so it may be served until ``revoke_s`` after that time.
 
     All times are of ``CLOCK_BOOTTIME``, which goes on while the machine is suspended.
 
@@ -49,7 +49,7 @@
         self.confirmed_s = max(self.confirmed_s, self._sent.get(sent_ms, -math.inf))
 
     def is_valid(self, boot_s):
-        """Return True while no key that the view holds can have been revoked."""
+        """Return True while the keys that the view holds may be served."""
         if self.revoke_s is None:
             return True
         return boot_s < self.confirmed_s + self.revoke_s * (1 - MARGIN_SHARE)
