Leader deals out the limits of workspaces

Cause: a workspace's rate and burst bind over all entry instances together. Change: CreditBoard deals them out in parts by recent use, keeps a reserve for single credits, and counts what may still be in use. QuotaSystem takes credit from the part, parks a request while it asks the leader, and denies with 429 or quota_unknown. WorkspaceUse counts dispatched requests. Settings quota_window_s, quota_overage and quota_tolerance are optional; metrics show credit held and denials.

--- a/packages/snipebay-control/src/snipebay_control/config.py
+++ b/packages/snipebay-control/src/snipebay_control/config.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from snipebay_control.credit_board import QuotaRules
 from snipebay_control.raft import RaftTiming
 from snipebay_control.sessions import LeaseTiming
 
@@ -18,6 +19,7 @@
             ``dynamic_membership`` only the seeds that are contacted first.
         raft: Timing of Raft.
         leases: Timing of the leases.
+        quota: How strictly the limits of workspaces are kept.
         compact_entries: Number of entries that compaction is based on; the log is
             compacted when it has more than twice as many.
         compact_bytes: The log is also compacted when the applied entries have more
@@ -40,6 +42,7 @@
     peers: tuple
     raft: RaftTiming = RaftTiming()
     leases: LeaseTiming = LeaseTiming()
+    quota: QuotaRules = QuotaRules()
     compact_entries: int = 2_000
     compact_bytes: int = 8 * 1024 * 1024
     hello_interval_s: float = 0.2
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -8,6 +8,7 @@
     WITHDRAWN,
     CommandReply,
     CommandRequest,
+    CreditRequest,
     Hello,
     Outcome,
     Reap,
@@ -22,6 +23,7 @@
 from snipebay_control.admission import admission
 from snipebay_control.cluster_status import cluster_status
 from snipebay_control.config import ControlConfig
+from snipebay_control.credit_board import CreditBoard
 from snipebay_control.delayed_commands import OUTDATING_KINDS, DelayedCommands
 from snipebay_control.entry_replies import EntryReplies
 from snipebay_control.joining import JoinProtocol
@@ -78,6 +80,7 @@
         self._outbox = []
         self.telemetry = Telemetry()
         self.rate_limits = RateLimitBoard()
+        self.credits = CreditBoard(cfg.quota)
         self._pending_replies = {}
         self._proposed_commands = set()
         self.joining = JoinProtocol(cfg, self.raft)
@@ -116,6 +119,8 @@
             self._outbox += self.joining.receive_hello(sender, body)
         elif isinstance(body, Renew):
             self._on_renew(sender, body)
+        elif isinstance(body, CreditRequest):
+            self._on_credit_request(sender, body)
         elif isinstance(body, CommandRequest):
             self._on_command(sender, body)
         elif isinstance(body, StatusRequest):
@@ -140,6 +145,8 @@
             self._next_key_count_s = now_s + KEY_COUNT_INTERVAL_S
             self._key_counts = self.sessions.key_counts(self.state)
         self.rate_limits.expire(self.state.backends, self._now_s)
+        plan = self.state.plan
+        self.credits.tick(plan.workspaces if plan else (), now_s)
         self._update_backend_leases()
         self._remove_expired()
         self._advance_clock()
@@ -219,6 +226,7 @@
         self._key_counts = ()
         self._next_clock_s = 0.0
         self.rate_limits.start(self.raft.term)
+        self.credits.start(self._now_s)
         self.sessions.start(self.state, self._now_s)
 
     def _update_backend_leases(self):
--- a/packages/snipebay-control/src/snipebay_control/entry_replies.py
+++ b/packages/snipebay-control/src/snipebay_control/entry_replies.py
@@ -1,10 +1,13 @@
 """What a leader sends to entry instances: answers to renewals and pushed changes."""
 
 import attrs
-from snipebay_model.messages import PutEntry, RenewReply
+from snipebay_model.messages import CreditReply, PutEntry, RenewReply
 
 __all__ = ["EntryReplies"]
 
+# An instance that asked a control instance which doesn't lead asks again after this.
+NOT_LEADER_DUE_MS = 200
+
 
 class EntryReplies:
     """Base class of a control instance that serves entry instances.
@@ -45,9 +48,25 @@
             refused=refused,
             rate_limits=limits,
             rate_limits_version=self.rate_limits.version,
+            credit_parts=self.credits.report(
+                (msg.row.entry_id, msg.row.incarnation),
+                msg.sent_ms,
+                msg.credit_reports,
+                self._now_s,
+            ),
         )
         self._outbox.append((sender, reply))
 
+    def _on_credit_request(self, sender, msg):
+        """Grant or deny credit of a workspace to an entry instance."""
+        if self._may_serve:
+            reply = self.credits.request(msg, self._now_s)
+        else:
+            reply = CreditReply(
+                msg.request_id, msg.workspace, 0, NOT_LEADER_DUE_MS, is_known=False
+            )
+        self._outbox.append((sender, reply))
+
     def _id_conflict(self, old, row):
         """Return why an instance id can't be used by a row, or an empty string."""
         moved = old is not None and old.address != row.address
--- a/packages/snipebay-node/src/snipebay_node/action_loop.py
+++ b/packages/snipebay-node/src/snipebay_node/action_loop.py
@@ -15,6 +15,7 @@
 CONTROL_MESSAGES = (
     *CONTROL_PEER_MESSAGES,
     messages.CommandRequest,
+    messages.CreditRequest,
     messages.Renew,
     messages.StatusRequest,
 )
--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -17,6 +17,7 @@
     413: "Content Too Large",
     422: "Unprocessable Content",
     428: "Precondition Required",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     501: "Not Implemented",
     502: "Bad Gateway",
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -48,7 +48,12 @@
     heartbeat_s=0.15, election_min_s=0.7, election_max_s=2.1, leader_lease_s=0.6
 )
 MIN_ERROR_STATUS = 400
-ENTRY_MESSAGES = (messages.RenewReply, messages.PermitRequest, messages.PermitReply)
+ENTRY_MESSAGES = (
+    messages.CreditReply,
+    messages.PermitReply,
+    messages.PermitRequest,
+    messages.RenewReply,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -227,7 +232,8 @@
             return True
         if self.entry is None or not self.entry.is_ready:
             return True
-        return self.entry.forward.queue.is_waiting
+        forward = self.entry.forward
+        return forward.queue.is_waiting or forward.quota.is_waiting
 
     def _on_tick(self, now_s):
         if self.control is not None:
@@ -322,6 +328,7 @@
                 backend_lease_s=settings.backend_lease_s,
                 needs_live_peer=False,
             ),
+            quota=settings.quota,
             dynamic_membership=True,
             initial_voters=tuple(
                 f"{seed}#{BOOTSTRAP_INCARNATION}" for seed in settings.seeds
--- a/packages/snipebay-node/src/snipebay_node/routed_settings.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_settings.py
@@ -1,6 +1,7 @@
 """Settings of a node that forwards by routes."""
 
 import attrs
+from snipebay_control.credit_board import QuotaRules
 from snipebay_policy.routed import RoutedConfig
 
 from snipebay_node.header_names import HeaderNames
@@ -27,6 +28,7 @@
         stop_timeout_s: Maximum duration of a graceful shutdown.
         entry_lease_s: Lease duration of an entry instance.
         backend_lease_s: Lease duration of a backend server, which announcements renew.
+        quota: How strictly the control group keeps the limits of workspaces.
         routed: Function from the row of this instance to the settings of the routed
             core.
         header_names: Header names of callers and backend servers.
@@ -43,5 +45,6 @@
     stop_timeout_s: float = 30.0
     entry_lease_s: float = 3.0
     backend_lease_s: float = 6.0
+    quota: QuotaRules = QuotaRules()
     routed: object = RoutedConfig
     header_names: HeaderNames = HeaderNames()
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -53,6 +53,7 @@
         permits = CounterMetricFamily(
             "snipebay_permits", "Permits decided here.", labels=("outcome",)
         )
+        yield from self._collect_quota(entry.forward.quota, now_s)
         for service, rows in entry.rate_limits_by_service().items():
             limits.add_metric((service,), sum(row.per_s for row in rows))
             limited.add_metric((service,), len(rows))
@@ -82,6 +83,19 @@
             permits,
         )
 
+    def _collect_quota(self, quota, now_s):
+        credit = GaugeMetricFamily(
+            "snipebay_credit_held", "Requests allowed now.", labels=("workspace",)
+        )
+        for label, count in quota.credit_held(now_s).items():
+            credit.add_metric((label,), count)
+        denials = CounterMetricFamily(
+            "snipebay_quota_denials", "Requests without credit.", labels=("reason",)
+        )
+        for reason, count in quota.denials.items():
+            denials.add_metric((reason,), count)
+        yield from (credit, denials)
+
     def _collect_control(self, control):
         raft = control.raft
         yield _gauge("term", "Term of the replicated log.", raft.term)
--- a/packages/snipebay-policy/src/snipebay_policy/arrivals.py
+++ b/packages/snipebay-policy/src/snipebay_policy/arrivals.py
@@ -20,6 +20,7 @@
         credential: Key of its workspace as bytes, or empty.
         attempts_before_hop: Attempts of the entry instance that sent it here, or None
             when its caller did.
+        peer_host: Host of the other side of its connection, or empty.
     """
 
     request_id: int
@@ -29,6 +30,7 @@
     key: str = ""
     credential: bytes = b""
     attempts_before_hop: int | None = None
+    peer_host: str = ""
 
 
 def check_arrival(arrival, forward, now_s):
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -15,6 +15,7 @@
 from snipebay_policy.forward_rows import ForwardRow, ForwardRules
 from snipebay_policy.work import PROMISE_STATUSES, Cancel, Probe, Problem, Relay
 from snipebay_policy.workspaces.keys import allowed_regions
+from snipebay_policy.workspaces.quota import QuotaSystem
 
 __all__ = ["ForwardSystem"]
 
@@ -31,6 +32,7 @@
         ends_s: When all requests have ended because the instance stops.
         rows: Request by id.
         queue: Requests that wait for a slot or a permit.
+        quota: Quotas of workspaces; some requests wait there first.
     """
 
     def __init__(self, ctx, rules=None):
@@ -40,6 +42,7 @@
         self.ends_s = math.inf
         self.rows = {}
         self.queue = DispatchQueue(ctx, self.rules, self._fail_request)
+        self.quota = QuotaSystem(ctx, self.rules, self._start, self._fail_request)
 
     # --- from the caller --------------------------------------------------
 
@@ -76,12 +79,19 @@
         if arrival.attempts_before_hop is not None:
             row.has_hopped = True
             row.attempt_count = min(arrival.attempts_before_hop, route.max_attempts - 1)
+        self.rows[row.request_id] = row
+        if workspace is None:
+            self._start(row, now_s)
         else:
+            self.quota.admit(arrival, row, now_s)
+
+    def _start(self, row, now_s):
+        """Put an admitted request into the queue."""
+        if not row.has_hopped:
             # Only the first instance counts a request.
-            self.ctx.count_request(service)
-        self.rows[row.request_id] = row
+            self.ctx.count_request(row.service)
         self.queue.add(row)
-        self.queue.dispatch_waiting(service, now_s)
+        self.queue.dispatch_waiting(row.service, now_s)
 
     @staticmethod
     def limit_s(arrival, route):
@@ -246,6 +256,7 @@
             if row.is_stalled(now_s, self.ctx.times(row.service).stall_timeout_s):
                 self._retry_elsewhere(row, now_s)
         self._update_reach(now_s)
+        self.quota.tick(now_s)
         self.queue.tick(now_s)
 
     def _update_reach(self, now_s):
@@ -346,7 +357,8 @@
             if status == 503:
                 delays = self.queue.retry_delays
                 retry_after_s = retry_after_s or delays.refused_s(row.service, now_s)
-            else:
+                self.quota.give_back(row)
+            elif status != 429:
                 retry_after_s = None
             # For a request that was sent, the last dispatch has the inputs.
             inputs = {} if row.attempt_count else self._refusal_reason(row)
@@ -372,6 +384,8 @@
 
     def _remove(self, row):
         self.queue.remove(row)
+        if row.workspace is not None:
+            self.quota.end(row)
         self._end_attempt(row)
         self.rows.pop(row.request_id, None)
 
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -24,6 +24,7 @@
 from snipebay_policy.service_tables import ServiceTables
 from snipebay_policy.view_changes import view_changes
 from snipebay_policy.work import Send
+from snipebay_policy.workspaces.fairness import WorkspaceUse
 from snipebay_policy.workspaces.keys import WorkspaceTable
 
 __all__ = ["RoutedConfig", "RoutedCore"]
@@ -78,6 +79,7 @@
         view: Newest :class:`View` received.
         table: :class:`RouteTable` of the plan in force, or None.
         workspaces: :class:`WorkspaceTable` of the plan in force.
+        workspace_use: Recent use of this instance by workspace.
         fleet: Backend servers.
         reach: Whether backend servers are reached from here.
         hop_table: Entry instances to send requests through when they are not.
@@ -93,6 +95,7 @@
         self.view = View()
         self.table = None
         self.workspaces = WorkspaceTable()
+        self.workspace_use = WorkspaceUse()
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
         self.rate_limits = RateLimitTable(self.record_event)
         self.reach = ReachMonitor()
@@ -155,6 +158,8 @@
             self.forward.queue.permits.on_request(sender, body, now_s)
         elif isinstance(body, messages.PermitReply):
             self.forward.queue.permits.on_reply(body, now_s)
+        elif isinstance(body, messages.CreditReply):
+            self.forward.quota.on_reply(body, now_s)
 
     def tick(self, now_s):
         """Run the periodic work that is due."""
@@ -264,6 +269,7 @@
             is_isolated=self.reach.is_isolated,
             key_sketches=self.read_key_sketches(now_s),
             reads_plan_patches=True,
+            credit_reports=self.forward.quota.reports(target, now_s),
         )
         self.queue_action(Send(target, report))
 
@@ -304,6 +310,9 @@
         if delta is not None and delta.base <= self.view.revision:
             self._apply_delta(delta, now_s, sender)
         self.hop_table.update_isolated(msg.isolated)
+        # An older revision may have another limit.
+        if msg.credit_parts and msg.quorum_revision >= self.view.revision:
+            self.forward.quota.apply_parts(msg.credit_parts, msg.sent_ms, now_s)
         version = msg.rate_limits_version
         self.rate_limits.apply_control(msg.rate_limits, version, now_s)
 
@@ -339,6 +348,7 @@
         self.hop_table.apply_view(view)
         self.rate_limits.apply_view(view)
         self.forward.queue.permits.apply_view(view)
+        self.forward.quota.apply_view(view, now_s)
         self._update_shares(now_s)
         if is_new_plan:
             # Operators see from the reports what is in force.
