--- a/packages/snipebay-control/src/snipebay_control/credit_board.py
+++ b/packages/snipebay-control/src/snipebay_control/credit_board.py
@@ -155,6 +155,9 @@
 
     def advance(self, settled_s, now_s):
         """Fill the reserve up to a time, in steps between the ends of grants."""
+        if self.updated_s < settled_s <= now_s:
+            self.advance(settled_s, math.nextafter(settled_s, 0.0))
+            self.updated_s = settled_s
         while self.in_flight and self.in_flight[0][0] <= now_s:
             self._fill(settled_s, self.in_flight[0][0])
             self.granted -= self.in_flight.popleft()[1]
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/credit_bucket.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/credit_bucket.py
@@ -102,7 +102,7 @@
         self.update(now_s)
         # The credit of a dispatched request didn't count against the burst. In a bucket
         # that was full since, it would have overflowed.
-        if is_pending or self.full_s < taken_s:
+        if is_pending or self.full_s <= taken_s:
             self.pending -= is_pending
             self.credit = min(self.credit + 1.0, self.burst - self.pending)
             self.credit = max(0.0, self.credit)
