Report parts when they change; give up unused parts at once

Cause: an instance that was told to give up its part didn't report that, so the leader counted it for 4 s. Every instance reported each workspace with each renewal. The board drops the use at once when much less is wanted.

--- a/packages/snipebay-control/src/snipebay_control/credit_board.py
+++ b/packages/snipebay-control/src/snipebay_control/credit_board.py
@@ -46,6 +46,9 @@
 # The same for the use that decides whether the instance gets a part. It is longer,
 # since a single request must not yield a part that is then left unused.
 MEAN_WINDOW_S = 10.0
+# The use is replaced at once if so much less was wanted where several were expected, as
+# the part is then missing at other instances.
+DROP, MIN_EXPECTED = 0.4, 4.0
 # Least burst of a limit, besides what is in flight.
 MIN_SIZE = 1.2
 # Room that the reserve keeps: this many credits, and what it yields in this time. With
@@ -192,15 +195,19 @@
         """Drop the ended offers of an instance and update the sums."""
         while holder.offers and holder.offers[0][0] <= now_s:
             holder.offers.popleft()
-        per_s = max((offer[1] for offer in holder.offers), default=0.0)
-        burst = max((offer[2] for offer in holder.offers), default=0.0)
+        per_s = burst = 0.0
+        for _, offered_per_s, offered_burst in holder.offers:
+            per_s = max(per_s, offered_per_s)
+            burst = max(burst, offered_burst)
         self.per_s += per_s - holder.per_s
         self.burst += burst - holder.burst
         holder.per_s, holder.burst = per_s, burst
 
     def record_use(self, holder, wanted, elapsed_s):
         """Update the use at an instance from what it reports."""
-        weight = -math.expm1(-elapsed_s / USE_WINDOW_S)
+        expected = holder.use * elapsed_s
+        has_dropped = expected >= MIN_EXPECTED and wanted < DROP * expected
+        weight = 1.0 if has_dropped else -math.expm1(-elapsed_s / USE_WINDOW_S)
         change = weight * (wanted / elapsed_s - holder.use)
         holder.use += change
         self.use += change
@@ -330,7 +337,7 @@
         ends_s = now_s + PART_S + CLOCK_MARGIN_S
         if now_s < self._settled_s:
             found = held
-        else:
+        elif holder.offers and holder.offers[0][1:] != held:
             values = [offer[1:] for offer in holder.offers]
             for _ in range(values.index(held) if held in values else 0):
                 holder.offers.popleft()
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
@@ -11,11 +11,12 @@
 import math
 
 import attrs
-from snipebay_model.credits import CreditReport, CreditRequest
+from snipebay_model.credits import CreditRequest
 
 from snipebay_policy.work import Send
 from snipebay_policy.workspaces.credit_bucket import CreditBucket
 from snipebay_policy.workspaces.over_limit import OverLimit
+from snipebay_policy.workspaces.quota_account import REFRESH_S, QuotaAccount
 
 __all__ = ["QuotaSystem"]
 
@@ -31,7 +32,6 @@
 MIN_WAIT_S = 0.3
 # Longest one: the credit must be used within GRANT_S.
 MAX_WAIT_S = 0.4
-REPORT_INTERVAL_S = 0.8
 # Rows of a report take up to 80 bytes, and those of its reply 50.
 MAX_REPORTS = 64
 # Workspaces with a label of their own in metrics, and the label of all others.
@@ -43,33 +43,6 @@
 IDLE_S = 10.0
 
 
-@attrs.define
-class _Account:
-    """Requests of one limited workspace.
-
-    Attributes:
-        name: Name of the workspace.
-        bucket: Its :class:`CreditBucket`.
-        over: Its :class:`OverLimit`.
-        wanted: Requests that asked for credit since the last report.
-        admitted: Those that got it.
-        used_s: When the last request asked.
-        parked: Pairs of request and end of its wait by id, in order of arrival.
-        ask_id: Id of the open request for credit, 0 without one.
-        asked_s: When it was sent.
-    """
-
-    name: str
-    bucket: CreditBucket
-    over: OverLimit
-    wanted: int = 0
-    admitted: int = 0
-    used_s: float = 0.0
-    parked: dict = attrs.Factory(dict)
-    ask_id: int = 0
-    asked_s: float = -math.inf
-
-
 @attrs.define
 class _Taken:
     """Credit that a request has taken.
@@ -81,7 +54,7 @@
         is_pending: True until the request is dispatched.
     """
 
-    account: _Account
+    account: QuotaAccount
     until_s: float
     taken_s: float
     is_pending: bool = True
@@ -114,7 +87,6 @@
         self._hosts = frozenset()
         self._ask_ids = itertools.count(1)
         self._applied_ms = -1
-        self._next_report_s = 0.0
         self._now_s = 0.0
 
     @property
@@ -291,29 +263,21 @@
             self._deny(account, row, now_s)
 
     def reports(self, target, now_s):
-        """Return the reports on the workspaces used most, if they are due.
+        """Return the reports that are due, those on the workspaces used most first.
 
         Args:
             target: Control instance that they go to; only the leader uses them.
             now_s: Time.
         """
-        is_leader = target == self.ctx.commands.leader
-        if now_s < self._next_report_s or not (self._accounts and is_leader):
+        if target != self.ctx.commands.leader:
             return ()
-        self._next_report_s = now_s + REPORT_INTERVAL_S
         rows = []
         for account in self._accounts.values():
             account.bucket.update(now_s)
-            if account.wanted or account.bucket.per_s:
+            if account.is_report_due(now_s):
                 rows.append(account)
         rows.sort(key=lambda a: (-a.wanted, -a.bucket.per_s, a.name))
-        return tuple(self._report(account) for account in rows[:MAX_REPORTS])
-
-    def _report(self, account):
-        bucket = account.bucket
-        wanted, admitted = account.wanted, account.admitted
-        account.wanted = account.admitted = 0
-        return CreditReport(account.name, wanted, admitted, bucket.per_s, bucket.burst)
+        return tuple(account.report(now_s) for account in rows[:MAX_REPORTS])
 
     def apply_parts(self, parts, sent_ms, now_s):
         """Use the parts in a reply, unless a later one has overtaken it."""
@@ -377,7 +341,9 @@
         account = self._accounts.get(workspace.name)
         if account is None:
             bucket = CreditBucket(workspace.rate_per_s, workspace.burst, now_s)
-            account = _Account(workspace.name, bucket, OverLimit(), used_s=now_s)
+            # A new workspace is reported at once.
+            times = {"used_s": now_s, "reported_s": now_s - REFRESH_S}
+            account = QuotaAccount(workspace.name, bucket, OverLimit(), **times)
             self._accounts[workspace.name] = account
         return account
 
