--- a/packages/snipebay-testbed/src/snipebay_testbed/quota_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/quota_study.py
@@ -1,7 +1,8 @@
 """Compares ways to keep the quota of a workspace, in virtual time.
 
 A workspace sends nine times its usual rate, through a third of the instances at a time,
-which changes every 3 s. Then the leader or owner is lost at the usual rate.
+which changes every 3 s. Then half of the instances are cut off from the others for 6 s,
+with requests at all of them. At last the leader or owner is lost at the usual rate.
 """
 
 import cyclopts
@@ -20,6 +21,7 @@
 LOST_OWNER_S = 4.0
 LOST_LEADER_S = 1.5
 AFTER_LOSS_S = 8.0
+CUT_S = 6.0
 LEASE_TOKENS_S = 0.25
 EXCHANGE_S = 0.5
 DELAY_S = 0.02
@@ -36,13 +38,14 @@
         self.messages = 0
         self.lost_until_s = 0.0
         self.lease = max(1, int(USUAL / entries * LEASE_TOKENS_S))
+        self.cut = 0
 
     def admit(self, entry, now_s):
         """Return when a request is sent, or None if it is refused."""
         if self.tokens[entry] >= 1 and now_s < self.expires_s[entry]:
             self.tokens[entry] -= 1
             return now_s
-        if now_s < self.lost_until_s:
+        if now_s < self.lost_until_s or entry < self.cut:
             return None
         self.messages += 2
         self.bucket.update(now_s)
@@ -67,15 +70,16 @@
             RateBucket(LIMIT / entries, LIMIT / entries, 0.0) for _ in range(entries)
         ]
         self.next_s = EXCHANGE_S
-        self.messages = 0
+        self.messages = self.cut = 0
         self.lost_until_s = 0.0
 
     def admit(self, entry, now_s):
         """Return when a request is sent, or None if it is refused."""
         if now_s >= self.next_s and now_s >= self.lost_until_s:
             self.next_s = now_s + EXCHANGE_S
-            shares = (self.counts + 0.1) / (self.counts + 0.1).sum()
-            for bucket, share in zip(self.buckets, shares, strict=True):
+            known = self.counts[self.cut :] + 0.1
+            shares = known / known.sum()
+            for bucket, share in zip(self.buckets[self.cut :], shares, strict=True):
                 part = max(1.0, LIMIT * share)
                 bucket.set_rate(LIMIT * share, part, now_s)
             self.counts *= 0.5
@@ -100,6 +104,10 @@
         sent += _arrivals(way, group, FACTOR * USUAL, start_s, PHASE_S, rng)
         start_s += PHASE_S
     messages = way.messages
+    way.cut = entries // 2
+    sent += _arrivals(way, np.arange(entries), FACTOR * USUAL, start_s, CUT_S, rng)
+    way.cut = 0
+    start_s += CUT_S
     sent += _arrivals(way, np.arange(entries), USUAL, start_s, PHASE_S, rng)
     way.lose(start_s + PHASE_S)
     sent += _arrivals(
@@ -122,6 +130,13 @@
         rig.load("w", FACTOR * USUAL, PHASE_S, group)
         rig.run_for(PHASE_S)
     messages = rig.messages
+    half = rig.instances[: entries // 2]
+    for is_cut in (True, False):
+        for instance in half:
+            instance.is_cut = is_cut
+        if is_cut:
+            rig.load("w", FACTOR * USUAL, CUT_S)
+            rig.run_for(CUT_S)
     rig.load("w", USUAL, PHASE_S + AFTER_LOSS_S)
     rig.run_for(PHASE_S)
     rig.lose_leader()
@@ -142,7 +157,7 @@
         "counts": run_way(ExchangedCounts(entries), entries, rng),
     }
     loaded_s = PHASE_S * PHASES
-    lost_s = loaded_s + PHASE_S
+    lost_s = loaded_s + CUT_S + PHASE_S
     rows = []
     for way, (times, messages) in results.items():
         times = np.asarray(times)
