--- a/packages/snipebay-control/src/snipebay_control/credit_board.py
+++ b/packages/snipebay-control/src/snipebay_control/credit_board.py
@@ -1,6 +1,6 @@
 """Distribution of the limits of workspaces to entry instances, kept by the leader.
 
-Safety. Let R be the rate and S the burst that are dealt out for a workspace. At any
+Safety. Let R be the rate and S the burst that are distributed for a workspace. At any
 time the leader keeps the sum of the parts that may be in use, plus its own reserve,
 within R and S. Every bucket starts empty, holds at most its burst, and fills at its
 rate. So the requests in any window of length w are at most the credit of all buckets at
@@ -34,7 +34,7 @@
 PART_S = 4.0
 # Clocks of two machines may differ by a few milliseconds over that time.
 CLOCK_MARGIN_S = 0.05
-# Shares of rate and burst that are dealt out; the rest stays in the reserve.
+# Shares of rate and burst that are distributed; the rest stays in the reserve.
 PART_SHARE = 0.8
 BURST_SHARE = 0.5
 RESERVE_SHARE = 1.0 - PART_SHARE
@@ -92,7 +92,7 @@
     tolerance: float = 0.0
 
     def budget(self, workspace):
-        """Return the rate and burst to deal out for a workspace.
+        """Return the rate and burst to distribute for a workspace.
 
         Half of what may go beyond the limit is added to the burst. A small burst would
         admit no request, or none while another one is in flight, so what it lacks is
@@ -131,8 +131,8 @@
     """Distribution of one workspace's limit.
 
     Attributes:
-        rate: Rate that is dealt out.
-        size: Burst that is dealt out.
+        rate: Rate that is distributed.
+        size: Burst that is distributed.
         holders: :class:`_Holder` by instance.
         use: Sum of their use.
         per_s: Sum of the rates of the parts that may be in use.
@@ -168,7 +168,7 @@
 
     @property
     def parts_burst(self):
-        """Burst that may be dealt out; below ``MIN_BURST`` there are no parts."""
+        """Burst that may be distributed; below ``MIN_BURST`` there are no parts."""
         room = MIN_RESERVE + RESERVE_SHARE * self.rate * RESERVE_ROOM_S
         return max(0.0, min(BURST_SHARE * self.size, self.size - room))
 
--- a/packages/snipebay-control/tests/test_credit_board.py
+++ b/packages/snipebay-control/tests/test_credit_board.py
@@ -12,7 +12,7 @@
 
 
 class TestCreditBoard(unittest.TestCase):
-    """What an instance may still use must not be dealt out again."""
+    """What an instance may still use must not be distributed again."""
 
     def setUp(self):
         self.board = CreditBoard()
@@ -62,7 +62,7 @@
         self.assertEqual(self.grant(500, 10.59).granted, 0)
         self.assertLessEqual(self.grant(500, 11.6).granted, 100)
 
-    def test_new_leader_confirms_parts_and_deals_out_nothing_new(self):
+    def test_new_leader_confirms_parts_and_distributes_nothing_new(self):
         self.board.start(20.0)
         self.board.tick(PLAN, 20.0)
         self.assertEqual(self.report(A, 20.1, 90, (30.0, 20.0)), (30.0, 20.0))
@@ -85,7 +85,7 @@
         self.board.tick(tuple(PLAN), 10.2)
         self.assertLess(self.grant(100, 10.2).granted, 25)
 
-    def test_what_is_dealt_out_fits_the_window(self):
+    def test_what_is_distributed_fits_the_window(self):
         rules = QuotaRules(overage=0.1, tolerance=20.0)
         for rate, burst in ((3.2, 3.2), (1.0, 0.0), (320.0, 320.0)):
             per_s, size = rules.budget(Workspace("w", rate_per_s=rate, burst=burst))
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
@@ -1,7 +1,7 @@
 """Quotas of workspaces at one entry instance.
 
-The leader deals out each limit in parts, see :mod:`snipebay_control.credit_board`. A
-request takes credit from the part of this instance. Without credit it is parked, and
+The leader distributes each limit in parts, see :mod:`snipebay_control.credit_board`.
+A request takes credit from the part of this instance. Without credit it is parked, and
 the leader is asked for credit from its reserve. This module also records the use of
 this instance by workspace, which is known when a request is dispatched.
 """
--- a/packages/snipebay-testbed/src/snipebay_testbed/quota_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/quota_study.py
@@ -123,7 +123,7 @@
 
 
 def run_parts(entries):
-    """Return the same for parts dealt out by the leader."""
+    """Return the same for parts distributed by the leader."""
     rig = QuotaRig(entries, (("w", LIMIT),))
     for phase in range(PHASES):
         group = rig.instances[phase % 3 :: 3] or rig.instances
--- a/packages/snipebay-testbed/tests/test_quota_bound.py
+++ b/packages/snipebay-testbed/tests/test_quota_bound.py
@@ -82,15 +82,15 @@
         self.check_bound(rig)
 
     def test_leader_change_with_parts_in_use(self):
-        """Guards against a new leader that deals out what is in use already."""
+        """Guards against a new leader that distributes what is in use already."""
         self.check_cut_off(is_leader_lost=True)
 
     def test_partition_with_parts_in_use(self):
-        """Guards against parts that are dealt out again before they have ended."""
+        """Guards against parts that are distributed again before they have ended."""
         self.check_cut_off(is_leader_lost=False)
 
     def test_use_that_moves_between_instances(self):
-        """Guards against a part that is dealt out again before it was given up."""
+        """Guards against a part that is distributed again before it was given up."""
         rig = QuotaRig(12, LIMITS)
         for first in (0, 6, 0, 3, 9):
             self.load(rig, 2.5, entries=rig.instances[first : first + 3])
