One budget for the bytes that a process holds for others

Bodies were buffered without a common limit and copied up to four times: 40 bodies of 8 MiB took an entry process of 152 MB to 294 to 851 MB.

--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -4,6 +4,8 @@
 
 import h11
 
+from snipebay_node.body_blocks import BodyBlocks
+
 __all__ = ["PROBLEM_TYPE", "Exchange", "problem_body"]
 
 PROBLEM_TYPE = "application/problem+json"
@@ -54,8 +56,11 @@
         method: Method as text.
         target: Path and query as text.
         headers: Pairs of lower-case name and value, as bytes.
-        body: Request body received so far.
+        body: Request body received so far, as :class:`BodyBlocks`. It is discarded
+            when the response begins.
         body_limit: Maximum body size in bytes, set when the head is checked.
+        body_weight: Bytes of memory to reserve for each byte of the body, set when the
+            head is checked; above 1 if it is parsed.
         on_disconnect: Called when the caller disconnects before the response ends.
         on_writable: Called when the response is no longer congested.
         is_complete: True once the entire request has been received.
@@ -77,8 +82,10 @@
         self.method = event.method.decode("ascii")
         self.target = event.target.decode("latin-1")
         self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
-        self.body = bytearray()
+        self.body = BodyBlocks()
+        self._holds_body = True
         self.body_limit = 0
+        self.body_weight = 1
         self.on_disconnect = None
         self.on_writable = None
         self.is_complete = False
@@ -155,6 +162,7 @@
         if self.is_done or self.is_started:
             return
         self.is_started = True
+        self.release_body()
         on_response = self.connection.server.on_response
         if on_response is not None:
             on_response(self, status, self.detail)
@@ -177,11 +185,26 @@
     def abort(self):
         """Close the connection, so that the caller sees a truncated response."""
         self.is_done = True
+        self.release_body()
         self.connection.stream.abort()
 
     def handle_disconnect(self):
         """End the exchange and notify its handler that the caller disconnected."""
+        self.held_events = []
+        self.forget_held_bytes()
         if not self.is_done:
             self.is_done = True
+            self.release_body()
             if self.on_disconnect is not None:
                 self.on_disconnect()
+
+    def release_body(self):
+        """Stop holding the body."""
+        if self._holds_body:
+            self._holds_body = False
+            self.body.release()
+
+    def forget_held_bytes(self):
+        """Note that no part of the response is held back any more."""
+        self.connection.server.budget.hold(-self.held_bytes)
+        self.held_bytes = 0
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -72,6 +72,11 @@
     def tick(self, now_s):
         self.pool.tick(now_s)
 
+    @property
+    def buffered_bytes(self):
+        """Bytes of responses that are not relayed yet."""
+        return sum(len(row.buffered) for row in self._responses.values())
+
     # --- from callers -----------------------------------------------------
 
     def check_head(self, exchange):
@@ -131,7 +136,7 @@
                 exchange.method,
                 exchange.target,
                 self._headers(exchange, action, remaining_ms),
-                bytes(exchange.body),
+                exchange.body,
                 request.request_id.encode("latin-1"),
                 is_hop=is_hop,
             )
--- a/packages/snipebay-node/src/snipebay_node/http_server.py
+++ b/packages/snipebay-node/src/snipebay_node/http_server.py
@@ -5,24 +5,22 @@
 address uses it; see docs/design/http.md.
 """
 
-import collections
 import itertools
 
-import h11
 from snipebay_model.plan import RequestLimits
 from snipebay_model.units import HEAD_LIMIT_BYTES
 
-from snipebay_node.exchange import Exchange
-from snipebay_node.rejections import encode_rejection, framing_error
+from snipebay_node.body_budget import BodyBudget
+from snipebay_node.http_connection import (
+    BODY_TIMEOUT_S,
+    STOP_IDLE_DELAY_S,
+    HttpConnection,
+)
 
-__all__ = ["STOP_IDLE_DELAY_S", "HttpServer"]
+__all__ = ["BODY_TIMEOUT_S", "STOP_IDLE_DELAY_S", "HttpServer"]
 
-BODY_TIMEOUT_S = 30.0
-# Limit on the requests of one connection that are handled concurrently.
-MAX_PIPELINED_REQUESTS = 16
-# Idle connections are closed this long after a planned stop begins: callers may just
-# have sent a request that is not read yet, over a round trip between regions.
-STOP_IDLE_DELAY_S = 0.5
+# A connection that reads nothing for this long may be closed when memory is short.
+READ_STALL_S = 1.0
 DEFAULT_LIMITS = RequestLimits(head_bytes=HEAD_LIMIT_BYTES)
 
 
@@ -37,6 +35,8 @@
         on_response: Called with the exchange, its status and the problem detail
             when a response starts.
         log_index: Function returning the log index that this instance has applied.
+        budget: :class:`BodyBudget` of the process, without a limit by default.
+        deadline_header: Name of the header with the caller's remaining time in ms.
 
     Attributes:
         known_index: That index when no connection waited to be accepted, which is a
@@ -50,20 +50,25 @@
         limits=lambda: DEFAULT_LIMITS,
         on_response=None,
         log_index=lambda: -1,
+        budget=None,
+        deadline_header="",
     ):
         self.app = app
         self.clock = clock
         self.limits = limits
         self.on_response = on_response
         self.log_index = log_index
+        self.budget = budget or BodyBudget()
+        self.deadline_header = deadline_header
         self.known_index = log_index()
+        self._admits_soon = False
         self.connections = set()
         self.is_stopping = False
         self._ids = itertools.count(1)
 
     def accept(self, stream):
         """Start serving HTTP on a new stream."""
-        self.connections.add(_Connection(self, stream))
+        self.connections.add(HttpConnection(self, stream))
 
     def note_all_accepted(self):
         """Update the known index; no connection must be waiting to be accepted."""
@@ -77,6 +82,39 @@
         for connection in list(self.connections):
             if now_s >= connection.deadline_s:
                 connection.time_out()
+        self.admit_waiting()
+        for claim, reason in self.budget.overdue(now_s):
+            claim.owner.give_up(claim, reason)
+        if self.budget.free_bytes < 0:
+            self._close_slow_readers(now_s)
+
+    def release(self, claim, stream):
+        """Free the room of a body, and admit those that wait for it."""
+        self.budget.release(claim)
+        if self.budget.waiting_count and not self._admits_soon:
+            self._admits_soon = True
+            stream.call_soon(self.admit_waiting)
+
+    def admit_waiting(self):
+        """Continue with the bodies that have room now."""
+        self._admits_soon = False
+        if self.budget.waiting_count:
+            for claim in self.budget.admit(self.clock()):
+                claim.owner.on_admitted(claim)
+
+    def _close_slow_readers(self, now_s):
+        """Close the connections that have read nothing for longest."""
+        stalled = [
+            connection.stream
+            for connection in self.connections
+            if connection.stream.buffered_bytes
+            and now_s - connection.stream.written_s >= READ_STALL_S
+        ]
+        for stream in sorted(stalled, key=lambda stream: stream.written_s):
+            if self.budget.free_bytes >= 0:
+                return
+            self.budget.rejected["not_read"] += 1
+            stream.abort()
 
     def stop(self):
         """Let each connection close after its last response, idle ones soon."""
@@ -85,292 +123,3 @@
         self.is_stopping = True
         for connection in self.connections:
             connection.close_soon_if_idle()
-
-
-class _Connection:
-    """One HTTP connection; parses requests and orders the responses.
-
-    Attributes:
-        log_index: Log index that this instance had at least applied when the caller
-            connected, -1 if unknown. A process that was suspended may apply newer
-            entries before it accepts a connection that has waited in its kernel.
-    """
-
-    def __init__(self, server, stream):
-        self.server = server
-        self.stream = stream
-        self.log_index = server.known_index
-        self._parser = self._new_parser()
-        self._receiving = None
-        self._pipeline = collections.deque()
-        self._rejection = b""
-        self._is_input_ended = False
-        self._is_parsing = False
-        self._set_deadline(server.limits().head_timeout_s)
-        stream.on_data = self._on_data
-        stream.on_closed = self._on_closed
-        stream.on_drained = self._notify_writable
-
-    # --- input ------------------------------------------------------------
-
-    def _on_data(self, data):
-        if self._is_input_ended:
-            return
-        if len(self._pipeline) >= MAX_PIPELINED_REQUESTS:
-            self.stream.pause()
-        if not self._pipeline and self._receiving is None and self._is_input_empty:
-            self._set_deadline(self.server.limits().head_timeout_s)
-        try:
-            self._parser.receive_data(data)
-        except (h11.RemoteProtocolError, RuntimeError):
-            self.stream.abort()
-            return
-        self._process_events()
-
-    @property
-    def _is_input_empty(self):
-        """True if no byte of a further request has been received."""
-        return not self._parser.trailing_data[0]
-
-    def _on_closed(self):
-        self.server.connections.discard(self)
-        for exchange in list(self._pipeline):
-            exchange.handle_disconnect()
-        if self._receiving is not None:
-            self._receiving.handle_disconnect()
-
-    def _process_events(self):
-        """Handle parser events until the parser needs more bytes."""
-        if self._is_parsing:
-            return
-        self._is_parsing = True
-        try:
-            while self._may_parse:
-                event = self._parser.next_event()
-                if event is h11.NEED_DATA:
-                    self._send_continue()
-                    return
-                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                    return
-                self._handle_event(event)
-        except h11.RemoteProtocolError as exc:
-            self._reject(exc.error_status_hint or 400, str(exc))
-        finally:
-            self._is_parsing = False
-
-    @property
-    def _may_parse(self):
-        has_capacity = len(self._pipeline) < MAX_PIPELINED_REQUESTS
-        return self.stream.is_open and not self._is_input_ended and has_capacity
-
-    def _send_continue(self):
-        expects_continue = self._parser.they_are_waiting_for_100_continue
-        is_first = bool(self._pipeline) and self._pipeline[0] is self._receiving
-        if expects_continue and is_first:
-            informational = h11.InformationalResponse(status_code=100, headers=[])
-            self.stream.write(self._parser.send(informational))
-
-    def _handle_event(self, event):
-        if isinstance(event, h11.Request):
-            self._on_request_head(event)
-        elif isinstance(event, h11.Data):
-            self._on_body_data(event.data)
-        elif isinstance(event, h11.EndOfMessage) and self._receiving is not None:
-            self._on_request_complete()
-
-    def _on_request_head(self, event):
-        exchange = Exchange(self, self._parser, self.server.next_request_id(), event)
-        self._receiving = exchange
-        detail = framing_error(exchange)
-        if detail:
-            self._reject(400, detail)
-            return
-        self._set_deadline(BODY_TIMEOUT_S)
-        self._pipeline.append(exchange)
-        self.server.app.check_head(exchange)
-
-    def _on_body_data(self, data):
-        exchange = self._receiving
-        if exchange is None or exchange.is_done:
-            return
-        exchange.body += data
-        if len(exchange.body) > exchange.body_limit:
-            limit = exchange.body_limit
-            self._reject(413, f"the body is over the limit of {limit} bytes")
-
-    def _on_request_complete(self):
-        """Dispatch a complete request and start parsing the next one."""
-        exchange, self._receiving = self._receiving, None
-        exchange.is_complete = True
-        self._set_deadline(None)
-        if self._parser.their_state is h11.DONE:
-            trailing, is_closed = self._parser.trailing_data
-            self._parser = self._new_parser()
-            if trailing:
-                self._parser.receive_data(trailing)
-            if is_closed:
-                self._parser.receive_data(b"")
-        else:
-            self._is_input_ended = True
-        self._dispatch_ready()
-
-    def _dispatch_ready(self):
-        """Pass the requests that may run concurrently to the application.
-
-        Safe requests run alongside earlier safe ones; any other request waits
-        until the responses to all earlier requests have ended.
-        """
-        for i, exchange in enumerate(list(self._pipeline)):
-            if not exchange.is_complete:
-                return
-            if i and not exchange.is_safe:
-                return
-            if not exchange.is_handled and not exchange.is_done:
-                exchange.is_handled = True
-                self.server.app.handle(exchange)
-            if not exchange.is_safe:
-                return
-
-    # --- output -----------------------------------------------------------
-
-    def send(self, exchange, event):
-        """Send an HTTP event of a response, or hold it until earlier ones are sent."""
-        if self._pipeline and self._pipeline[0] is exchange:
-            self._write(exchange, event)
-        else:
-            exchange.held_events.append(event)
-            if isinstance(event, h11.Data):
-                exchange.held_bytes += len(event.data)
-
-    def _write(self, exchange, event):
-        """Write an event of the response that is due."""
-        if not self.stream.is_open:
-            return
-        if isinstance(event, h11.Response) and self._is_final_response(exchange):
-            event = h11.Response(
-                status_code=event.status_code,
-                headers=[*event.headers, (b"connection", b"close")],
-                reason=b"",
-            )
-            self._is_input_ended = True
-        try:
-            data = exchange.parser.send(event)
-        except h11.LocalProtocolError:
-            # For example a body longer than its Content-Length.
-            self.stream.abort()
-            return
-        self.stream.write(data or b"")
-
-    def _write_held(self, exchange):
-        """Write the held events of a response that has become due."""
-        events, exchange.held_events = exchange.held_events, []
-        exchange.held_bytes = 0
-        for event in events:
-            self._write(exchange, event)
-        if not exchange.is_congested:
-            self._notify_writable()
-
-    def _notify_writable(self):
-        """Let the response that is due continue."""
-        if self._pipeline and self._pipeline[0].on_writable is not None:
-            self._pipeline[0].on_writable()
-
-    def _is_final_response(self, exchange):
-        """Return True for the last response before the connection closes.
-
-        During a stop, or if the application asks for it, this is a response with no
-        request behind it. It is decided when the response is written: while it is
-        held, further requests may arrive and be dispatched, which the close would cut.
-        """
-        is_newest = self._pipeline[-1] is exchange and not self._rejection
-        may_close = self.server.is_stopping or exchange.closes_connection
-        if not may_close or not is_newest:
-            return False
-        return not exchange.is_complete or self._is_input_empty
-
-    def finish_response(self, exchange):
-        """Continue with the next request, or close the connection."""
-        if not self._pipeline or self._pipeline[0] is not exchange:
-            return
-        while self._pipeline and self._pipeline[0].is_done and self.stream.is_open:
-            done = self._pipeline.popleft()
-            is_body_incomplete = not done.is_complete
-            if done.parser.our_state is h11.MUST_CLOSE or is_body_incomplete:
-                self._close()
-                return
-            if self._pipeline:
-                self._write_held(self._pipeline[0])
-        if not self.stream.is_open:
-            return
-        if not self._pipeline and self._receiving is None:
-            if self._is_input_ended:
-                self._close()
-                return
-            self._set_idle_deadline()
-        self._dispatch_ready()
-        self.stream.resume()
-        self._process_events()
-
-    def _close(self):
-        self._is_input_ended = True
-        self.stream.write(self._rejection)
-        self._rejection = b""
-        self.stream.close()
-
-    @property
-    def _is_idle(self):
-        is_receiving = self._receiving is not None or not self._is_input_empty
-        return not self._pipeline and not is_receiving
-
-    def time_out(self):
-        """Close the connection after a timeout, with status 408 if not idle.
-
-        Input is read first: in a process that was suspended it may have waited longer
-        than the timeout.
-        """
-        self.stream.handle_read()
-        if not self.stream.is_open or self.server.clock() < self.deadline_s:
-            return
-        if self._is_idle:
-            self._close()
-        else:
-            self._reject(408, "the request took too long to arrive")
-
-    def close_soon_if_idle(self):
-        """Shorten the idle timeout; a request that arrives before it is handled."""
-        if self._is_idle:
-            self._set_idle_deadline()
-
-    def _set_idle_deadline(self):
-        if self.server.is_stopping:
-            self._set_deadline(STOP_IDLE_DELAY_S)
-        else:
-            self._set_deadline(self.server.limits().idle_timeout_s)
-
-    def _reject(self, status, detail):
-        """Respond to the current request with an error and close.
-
-        The error is sent behind the responses to earlier requests.
-        """
-        self._set_deadline(None)
-        exchange, self._receiving = self._receiving, None
-        self._is_input_ended = True
-        if exchange is not None:
-            exchange.is_done = True
-            if exchange in self._pipeline:
-                self._pipeline.remove(exchange)
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._rejection = encode_rejection(self._parser, status, detail)
-        elif self._pipeline or (exchange is not None and exchange.is_started):
-            self.stream.abort()
-            return
-        if not self._pipeline:
-            self._close()
-
-    def _new_parser(self):
-        head_bytes = self.server.limits().head_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
-
-    def _set_deadline(self, seconds):
-        limit_s = float("inf") if seconds is None else seconds
-        self.deadline_s = self.server.clock() + limit_s
--- a/packages/snipebay-node/src/snipebay_node/metrics.py
+++ b/packages/snipebay-node/src/snipebay_node/metrics.py
@@ -1,7 +1,11 @@
 """Prometheus metrics of one process."""
 
+import functools
+
 import prometheus_client
 
+from snipebay_node.body_budget import REJECTION_REASONS
+
 __all__ = ["NodeMetrics"]
 
 # Upper bounds in seconds: disk syncs take milliseconds, requests up to a minute.
@@ -89,6 +93,20 @@
         )
         self._decisions = make(gauge, "decisions", "Decisions since the start.", "kind")
 
+    def watch_bodies(self, budget):
+        """Export the state of a :class:`BodyBudget`."""
+        gauge = prometheus_client.Gauge
+        held = self._make(gauge, "held_bytes", "Bytes held for callers and others.")
+        held.set_function(lambda: budget.held_bytes)
+        waiting = self._make(gauge, "bodies_waiting", "Bodies that wait for room.")
+        waiting.set_function(lambda: budget.waiting_count)
+        rejected = self._make(
+            gauge, "bodies_rejected", "Bodies and readers given up.", "reason"
+        )
+        for reason in REJECTION_REASONS:
+            count = functools.partial(budget.rejected.__getitem__, reason)
+            rejected.labels(reason).set_function(count)
+
     def message_sent(self, kind, size):
         self._sent.labels(kind).inc()
         self._sent_bytes.labels(kind).inc(size)
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -158,7 +158,7 @@
                 exchange.method,
                 _split(exchange.target)[1],
                 self._headers(exchange, span, remaining_ms),
-                bytes(exchange.body),
+                exchange.body,
             )
         )
 
--- a/packages/snipebay-node/src/snipebay_node/rejections.py
+++ b/packages/snipebay-node/src/snipebay_node/rejections.py
@@ -4,18 +4,30 @@
 
 from snipebay_node.exchange import PROBLEM_TYPE, problem_body
 
-__all__ = ["encode_rejection", "framing_error"]
+__all__ = ["body_length", "encode_rejection", "framing_error"]
 
 
-def encode_rejection(parser, status, detail):
-    """Return the bytes of a last response that says why a request is invalid."""
-    body = problem_body(status, "not-run", detail)
+def encode_rejection(parser, status, detail, reason="", retry_after_s=1):
+    """Return the bytes of a last response that says why a request is not handled.
+
+    Args:
+        parser: The h11 parser of the request.
+        status: HTTP status.
+        detail: Text for the caller.
+        reason: Reason from a fixed set, or empty.
+        retry_after_s: When to try again, said with status 503.
+    """
+    body = problem_body(
+        status, "not-run", detail, **({"reason": reason} if reason else {})
+    )
     headers = [
         ("Content-Type", PROBLEM_TYPE),
         ("Content-Length", str(len(body))),
         ("Snipebay-Outcome", "not-run"),
         ("Connection", "close"),
     ]
+    if status == 503:
+        headers.append(("Retry-After", str(retry_after_s)))
     response = h11.Response(status_code=status, headers=headers, reason=b"")
     events = (response, h11.Data(data=body), h11.EndOfMessage())
     return b"".join(parser.send(event) for event in events)
@@ -33,3 +45,13 @@
     if exchange.method == "CONNECT":
         return "CONNECT is not served"
     return ""
+
+
+def body_length(exchange):
+    """Return the length of a request's body, or None if it is not announced."""
+    for name, value in exchange.headers:
+        if name == b"content-length":
+            return int(value)
+        if name == b"transfer-encoding":
+            return None
+    return 0
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -22,12 +22,14 @@
     CONTROL_PEER_MESSAGES,
     ActionLoop,
 )
+from snipebay_node.body_budget import BodyBudget, capacity_of
 from snipebay_node.change_log import ChangeLog
 from snipebay_node.control_client import ControlClient
 from snipebay_node.forwarder import Forwarder
 from snipebay_node.frames import FrameBus
 from snipebay_node.http_server import HttpServer
 from snipebay_node.metrics import NodeMetrics
+from snipebay_node.socket_limits import choose_connections, socket_limits
 from snipebay_node.state_collector import StateCollector
 from snipebay_node.stop_schedule import StopSchedule
 from snipebay_node.storage import BOOTSTRAP_INCARNATION, Storage, StorageError
@@ -48,6 +50,8 @@
     heartbeat_s=0.15, election_min_s=0.7, election_max_s=2.1, leader_lease_s=0.6
 )
 MIN_ERROR_STATUS = 400
+# Idle connections to backend servers that are kept when descriptors are short.
+IDLE_BACKEND_SHARE = 1 / 16
 ENTRY_MESSAGES = (messages.RenewReply, messages.PermitRequest, messages.PermitReply)
 
 log = structlog.get_logger(__name__)
@@ -72,7 +76,13 @@
         self.metrics = NodeMetrics()
         self.changes = ChangeLog(log)
         self.poller = EPoll().register(self)
-        self.hub = StreamHub(self.poller).register(self)
+        self.budget = BodyBudget(
+            capacity_of(settings.memory_mb, is_control=bool(settings.data))
+        )
+        self.metrics.watch_bodies(self.budget)
+        limits = socket_limits(settings.max_fds)
+        self.hub = StreamHub(self.poller, self.budget, limits).register(self)
+        self.hub.on_crowded = self._close_idle_connections
         self.servers = []
         self.storage = None
         self.control = None
@@ -126,7 +136,11 @@
                 )
 
         server = HttpServer(
-            app, self.clock, on_response=record_response, log_index=self._log_index
+            app,
+            self.clock,
+            on_response=record_response,
+            log_index=self._log_index,
+            budget=self.budget,
         )
         self._listen(address, server)
 
@@ -134,6 +148,16 @@
         """Return the log index that the control role has applied, 0 without it."""
         return self.control.applied_index if self.control is not None else 0
 
+    def _close_idle_connections(self):
+        """Close connections to free descriptors for others."""
+        if self.forwarder is not None:
+            self.forwarder.pool.close_oldest_idle(
+                int(IDLE_BACKEND_SHARE * self.settings.max_fds)
+            )
+        connections = [row for server in self.servers for row in server.connections]
+        for connection in choose_connections(connections):
+            connection.stream.abort()
+
     def _listen(self, address, server):
         self.servers.append(server)
         self.hub.listen(address, server.accept)
@@ -242,6 +266,7 @@
         if self.entry is not None:
             self.entry.tick(now_s)
             self.forwarder.tick(now_s)
+            self.budget.note_unrelayed(self.forwarder.buffered_bytes)
             self.metrics.revision.set(self.entry.view.revision)
         for server in self.servers:
             server.tick(now_s)
@@ -359,5 +384,11 @@
             self.run_actions,
             settings.header_names,
         )
-        server = HttpServer(self.forwarder, self.clock, lambda: self.entry.limits)
+        server = HttpServer(
+            self.forwarder,
+            self.clock,
+            lambda: self.entry.limits,
+            budget=self.budget,
+            deadline_header=settings.header_names.deadline_ms.decode(),
+        )
         self._listen(settings.callers, server)
--- a/packages/snipebay-node/src/snipebay_node/routed_settings.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_settings.py
@@ -5,7 +5,10 @@
 
 from snipebay_node.header_names import HeaderNames
 
-__all__ = ["RoutedSettings"]
+__all__ = ["DEFAULT_MAX_FDS", "DEFAULT_MEMORY_MB", "RoutedSettings"]
+
+# Limits of the smallest machines whose settings say nothing of them.
+DEFAULT_MEMORY_MB, DEFAULT_MAX_FDS = 200, 4_096
 
 
 @attrs.frozen
@@ -30,6 +33,9 @@
         routed: Function from the row of this instance to the settings of the routed
             core.
         header_names: Header names of callers and backend servers.
+        memory_mb: Memory that the process may take, from which the room for bodies
+            is derived.
+        max_fds: Number of descriptors that the process may have.
     """
 
     name: str
@@ -45,3 +51,5 @@
     backend_lease_s: float = 6.0
     routed: object = RoutedConfig
     header_names: HeaderNames = HeaderNames()
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -1,5 +1,6 @@
 """Non-blocking TCP connections on the circuits poller, without threads."""
 
+import collections
 import errno
 import ipaddress
 import os
@@ -7,13 +8,19 @@
 import time
 
 import structlog
-from circuits import BaseComponent, handler
+from circuits import BaseComponent, Event, handler
+
+from snipebay_node.body_budget import BodyBudget
+from snipebay_node.socket_limits import SocketLimits
+from snipebay_node.stream import READ_BYTES, Stream
 
 __all__ = ["Stream", "StreamHub"]
 
-READ_BYTES = 64 * 1024
-WRITE_HIGH_WATER_BYTES = 256 * 1024
+# Deferred calls are made for this long before input is polled again.
+DEFERRED_ROUND_S = 0.005
 LISTEN_BACKLOG = 1_024
+# Closed at a time when sockets are short.
+MAX_CLOSED_LINGERING = 32
 # After a close, input is still read and discarded for this long. Closing a socket
 # with unread input sends a reset, which can make the peer lose the response.
 LINGER_TIMEOUT_S = 1.0
@@ -24,141 +31,8 @@
 log = structlog.get_logger(__name__)
 
 
-class Stream:
-    """One TCP connection.
-
-    The owner sets the ``on_`` callbacks; the hub calls them.
-
-    Attributes:
-        on_data: Called with the bytes read.
-        on_closed: Called once, without arguments, when the stream closes.
-        on_connected: Called without arguments when an outgoing connection is
-            established.
-        on_drained: Called without arguments when the send buffer becomes empty.
-        was_reset: True after a socket error or a failed connect.
-        peer: Address ``host:port`` of the other side of an accepted connection.
-    """
-
-    def __init__(self, hub, sock, *, connecting=False, peer=""):
-        self.hub = hub
-        self.sock = sock
-        self.peer = peer
-        self.is_open = True
-        self.is_connecting = connecting
-        self.on_data = self.on_closed = self.on_connected = self.on_drained = None
-        self._buffer = bytearray()
-        self.was_reset = False
-        self._closing = False
-        self._paused = False
-
-    @property
-    def buffered_bytes(self):
-        """Number of bytes in the send buffer."""
-        return len(self._buffer)
-
-    @property
-    def is_congested(self):
-        """True while the send buffer is above the high-water mark."""
-        return len(self._buffer) > WRITE_HIGH_WATER_BYTES
-
-    @property
-    def has_peer_closed(self):
-        """True if the peer has closed its side and all input before that was read."""
-        try:
-            return self.is_open and not self.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
-            return True
-
-    def write(self, data):
-        """Send bytes, or buffer those that the socket does not accept yet."""
-        if not self.is_open or not data:
-            return
-        sent = 0
-        if not self._buffer and not self.is_connecting:
-            sent = self._send(data)
-        if self.is_open and sent < len(data):
-            if not self._buffer:
-                self.hub.watch_writes(self, True)
-            self._buffer += memoryview(data)[sent:]
-
-    def close(self):
-        """Close once the send buffer is empty."""
-        self._closing = True
-        if self.is_open and not self._buffer:
-            self._shut_down()
-
-    def abort(self):
-        """Close immediately and discard unsent bytes."""
-        if self.is_open:
-            self.is_open = False
-            self.hub.unregister(self)
-            self.sock.close()
-            if self.on_closed is not None:
-                self.on_closed()
-
-    def _shut_down(self):
-        """Shut down the sending side; the hub discards further input."""
-        self.is_open = False
-        self.hub.linger(self)
-        if self.on_closed is not None:
-            self.on_closed()
-
-    def pause(self):
-        """Stop reading, which applies backpressure to the sender."""
-        if self.is_open and not self._paused:
-            self._paused = True
-            self.hub.watch_reads(self, False)
-
-    def resume(self):
-        """Resume reading after :meth:`pause`."""
-        if self.is_open and self._paused:
-            self._paused = False
-            self.hub.watch_reads(self, True)
-
-    def handle_read(self):
-        """Read once; return True if any bytes were received."""
-        try:
-            data = self.sock.recv(READ_BYTES)
-        except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
-            self.was_reset = True
-            data = b""
-        if not data:
-            self.abort()
-        elif self.on_data is not None:
-            self.on_data(data)
-        return bool(data)
-
-    def handle_write(self):
-        if self.is_connecting:
-            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                self.was_reset = True
-                self.abort()
-                return
-            self.is_connecting = False
-            if self.on_connected is not None:
-                self.on_connected()
-        if self._buffer:
-            del self._buffer[: self._send(self._buffer)]
-        if self.is_open and not self._buffer:
-            self.hub.watch_writes(self, False)
-            if self._closing:
-                self._shut_down()
-            elif self.on_drained is not None:
-                self.on_drained()
-
-    def _send(self, data):
-        try:
-            return self.sock.send(data)
-        except (BlockingIOError, InterruptedError):
-            return 0
-        except OSError:
-            self.was_reset = True
-            self.abort()
-            return 0
+class _call_deferred(Event):
+    """Fired while deferred calls are pending."""
 
 
 class StreamHub(BaseComponent):
@@ -166,17 +40,31 @@
 
     It replaces the clients of ``circuits.net``, which block while connecting: one
     unresponsive backend server would delay every request.
+
+    Args:
+        poller: The poller of the process.
+        budget: :class:`BodyBudget` of the process, without a limit by default.
+        limits: :class:`SocketLimits` of the process, without a limit by default.
+
+    Attributes:
+        on_crowded: Called without arguments to close connections when a further one
+            would exceed the limits.
     """
 
     channel = "streams"
 
-    def __init__(self, poller):
+    def __init__(self, poller, budget=None, limits=None):
         super().__init__()
         self.poller = poller
+        self.budget = budget or BodyBudget()
+        self.limits = limits or SocketLimits()
+        self.on_crowded = lambda: None
+        self._deferred = collections.deque()
         self._streams = {}
         self._listeners = {}
         self._lingering = {}
         self._can_accept = True
+        self._is_watching_listeners = True
 
     def listen(self, address, on_accept):
         """Listen on an address and call ``on_accept`` with each new stream.
@@ -197,12 +85,35 @@
             sock.close()
         self._listeners.clear()
 
+    @property
+    def socket_count(self):
+        """Number of sockets, including those that only wait for their end."""
+        return len(self._streams) + len(self._lingering) + len(self._listeners)
+
+    def call_soon(self, function):
+        """Call a function after the events that are pending now."""
+        if not self._deferred:
+            self.fire(_call_deferred())
+        self._deferred.append(function)
+
+    @handler("_call_deferred")
+    def _on_call_deferred(self):
+        end_s = time.monotonic() + DEFERRED_ROUND_S
+        for _ in range(len(self._deferred)):
+            self._deferred.popleft()()
+            if time.monotonic() >= end_s:
+                break
+        if self._deferred:
+            self.fire(_call_deferred())
+
     def connect(self, address):
         """Start connecting and return the stream.
 
         The stream is closed if the connection fails at once, also because the address
         can't be used.
         """
+        if self.socket_count >= self.limits.max_sockets:
+            self._make_room()
         stream = Stream(self, None, connecting=True)
         try:
             stream.sock = sock = _start_connecting(address)
@@ -240,7 +151,9 @@
             self._close_lingering(stream.sock)
             return
         self.watch_writes(stream, False)
-        self.poller.addReader(self, stream.sock)
+        if not self.poller.isReading(stream.sock):
+            # The poller would keep a second entry after the end of the socket.
+            self.poller.addReader(self, stream.sock)
         self._lingering[stream.sock] = time.monotonic() + LINGER_TIMEOUT_S
 
     def accept_waiting(self):
@@ -253,6 +166,24 @@
         for sock, deadline_s in list(self._lingering.items()):
             if now_s >= deadline_s:
                 self._close_lingering(sock)
+        if not self._is_watching_listeners:
+            self._watch_listeners(True)
+
+    def _watch_listeners(self, is_enabled):
+        """Poll the listeners, or stop it: without descriptors they stay readable."""
+        self._is_watching_listeners = is_enabled
+        for listener in self._listeners:
+            if is_enabled and not self.poller.isReading(listener):
+                self.poller.addReader(self, listener)
+            elif not is_enabled and self.poller.isReading(listener):
+                self.poller.removeReader(listener)
+
+    def _make_room(self):
+        """Close sockets that are no longer needed, then idle connections."""
+        for sock in list(self._lingering)[:MAX_CLOSED_LINGERING]:
+            self._close_lingering(sock)
+        if self.socket_count >= self.limits.max_accepting:
+            self.on_crowded()
 
     def _close_lingering(self, sock):
         self._lingering.pop(sock, None)
@@ -280,7 +211,9 @@
         if sock in self._listeners:
             self._accept(sock)
         elif sock in self._streams:
-            self._streams[sock].handle_read()
+            # It may have been paused after the poll.
+            if not self._streams[sock].is_paused:
+                self._streams[sock].handle_read()
         elif sock in self._lingering:
             self._discard_input(sock)
 
@@ -313,6 +246,8 @@
                 if self._can_accept:
                     log.warning("connections not accepted", error=str(exc))
                 self._can_accept = False
+                self.on_crowded()
+                self._watch_listeners(False)
                 return False
             sock.setblocking(False)
             _set_socket_options(sock)
@@ -320,6 +255,10 @@
             self._streams[sock] = stream
             self.poller.addReader(self, sock)
             self._listeners[listener](stream)
+            if self.socket_count > self.limits.max_accepting:
+                self._make_room()
+                if self.socket_count > self.limits.max_accepting:
+                    stream.abort()
         return False
 
 
--- a/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fake_stream.py
@@ -13,6 +13,8 @@
         has_peer_closed: True once the peer has closed its side.
         peer: Address of the other side.
         is_paused: True while its owner does not read.
+        read_bytes: Maximum number of bytes that its owner reads at a time.
+        written_s: Time at which bytes were last sent.
     """
 
     def __init__(self, *, connecting=False):
@@ -25,11 +27,21 @@
         self.has_peer_closed = False
         self.peer = ""
         self.is_paused = False
+        self.read_bytes = 64 * 1024
+        self.written_s = 0.0
         self.on_data = self.on_closed = self.on_connected = self.on_drained = None
 
     def write(self, data):
         self.sent += data
 
+    def call_soon(self, function):
+        """Call a function at once."""
+        function()
+
+    def notify_writable(self):
+        """Report at once that the send buffer is empty."""
+        self.on_drained()
+
     def handle_read(self):
         """Return False: no input waits."""
         return False
