--- a/packages/snipebay-node/src/snipebay_node/streams.py
+++ b/packages/snipebay-node/src/snipebay_node/streams.py
@@ -99,12 +99,14 @@
     @handler("_call_deferred")
     def _on_call_deferred(self):
         end_s = time.monotonic() + DEFERRED_ROUND_S
-        for _ in range(len(self._deferred)):
-            self._deferred.popleft()()
-            if time.monotonic() >= end_s:
-                break
-        if self._deferred:
-            self.fire(_call_deferred())
+        try:
+            for _ in range(len(self._deferred)):
+                self._deferred.popleft()()
+                if time.monotonic() >= end_s:
+                    return
+        finally:
+            if self._deferred:
+                self.fire(_call_deferred())
 
     def connect(self, address):
         """Start connecting and return the stream.
