--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -11,6 +11,8 @@
 PROBLEM_TYPE = "application/problem+json"
 # A response that waits for an earlier one counts as congested above this.
 MAX_HELD_BYTES = 64 * 1024
+# Memory of a header beside its bytes: two objects and their pair.
+HEADER_BYTES = 160
 _STATUS_TITLES = {
     400: "Bad Request",
     404: "Not Found",
@@ -52,6 +54,7 @@
         held_events: HTTP events of the response, held back until the responses to
             earlier requests have been sent.
         held_bytes: Body bytes among them.
+        head_bytes: Memory of the head that counts in the budget.
         request_id: Id unique in this process.
         method: Method as text.
         target: Path and query as text.
@@ -77,7 +80,7 @@
         self.connection = connection
         self.parser = parser
         self.held_events = []
-        self.held_bytes = 0
+        self.held_bytes = self.head_bytes = 0
         self.request_id = request_id
         self.method = event.method.decode("ascii")
         self.target = event.target.decode("latin-1")
@@ -198,6 +201,18 @@
             if self.on_disconnect is not None:
                 self.on_disconnect()
 
+    def hold_head(self):
+        """Count the memory of the head in the budget of the process."""
+        self.head_bytes = len(self.target) + sum(
+            HEADER_BYTES + len(name) + len(value) for name, value in self.headers
+        )
+        self.connection.server.budget.hold(self.head_bytes)
+
+    def forget_head(self):
+        """Note that the head is no longer held."""
+        self.connection.server.budget.hold(-self.head_bytes)
+        self.head_bytes = 0
+
     def release_body(self):
         """Stop holding the body."""
         if self._holds_body:
--- a/packages/snipebay-node/src/snipebay_node/http_connection.py
+++ b/packages/snipebay-node/src/snipebay_node/http_connection.py
@@ -17,6 +17,8 @@
 STOP_IDLE_DELAY_S = 0.5
 # Memory of a connection without the bytes that it holds for its caller.
 CONNECTION_BYTES = 16 * 1024
+# Heads with more headers, and those behind earlier requests, count beside it.
+USUAL_HEADERS = 32
 # Parser events handled at a time, about 2 ms. A body in chunks of one byte has tens of
 # thousands in each read.
 MAX_EVENTS = 64
@@ -85,6 +87,7 @@
         self.server.connections.discard(self)
         self.server.budget.hold(-CONNECTION_BYTES)
         for exchange in list(self._pipeline):
+            exchange.forget_head()
             exchange.handle_disconnect()
         if self._receiving is not None:
             self._receiving.handle_disconnect()
@@ -176,7 +179,13 @@
             self.reject(400, detail)
             return
         self.set_deadline(BODY_TIMEOUT_S)
+        if self._pipeline or len(exchange.headers) > USUAL_HEADERS:
+            exchange.hold_head()
         self._pipeline.append(exchange)
+        if exchange.head_bytes and self.server.budget.free_bytes < 0:
+            self.server.budget.rejected["no_room"] += 1
+            self.reject(503, "no room for the request now", "no_room")
+            return
         self.server.app.check_head(exchange)
         length = body_length(exchange)
         if length != 0 and not exchange.is_done and self.stream.is_open:
@@ -280,6 +289,7 @@
             return
         while self._pipeline and self._pipeline[0].is_done and self.stream.is_open:
             done = self._pipeline.popleft()
+            done.forget_head()
             is_body_incomplete = not done.is_complete
             if done.parser.our_state is h11.MUST_CLOSE or is_body_incomplete:
                 self._close()
@@ -351,6 +361,7 @@
         if exchange is not None:
             exchange.is_done = True
             exchange.release_body()
+            exchange.forget_head()
             if exchange in self._pipeline:
                 self._pipeline.remove(exchange)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
