--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -4,11 +4,15 @@
 
 import h11
 
+from snipebay_node.body_blocks import BodyBlocks
+
 __all__ = ["PROBLEM_TYPE", "Exchange", "problem_body"]
 
 PROBLEM_TYPE = "application/problem+json"
 # A response that waits for an earlier one counts as congested above this.
 MAX_HELD_BYTES = 64 * 1024
+# Memory of a header beside its bytes: two objects and their pair.
+HEADER_BYTES = 160
 _STATUS_TITLES = {
     400: "Bad Request",
     404: "Not Found",
@@ -51,12 +55,16 @@
         held_events: HTTP events of the response, held back until the responses to
             earlier requests have been sent.
         held_bytes: Body bytes among them.
+        head_bytes: Memory of the head that counts in the budget.
         request_id: Id unique in this process.
         method: Method as text.
         target: Path and query as text.
         headers: Pairs of lower-case name and value, as bytes.
-        body: Request body received so far.
+        body: Request body received so far, as :class:`BodyBlocks`. It is discarded
+            when the response begins.
         body_limit: Maximum body size in bytes, set when the head is checked.
+        body_weight: Bytes of memory to reserve for each byte of the body, set when the
+            head is checked; above 1 if it is parsed.
         on_disconnect: Called when the caller disconnects before the response ends.
         on_writable: Called when the response is no longer congested.
         is_complete: True once the entire request has been received.
@@ -73,13 +81,15 @@
         self.connection = connection
         self.parser = parser
         self.held_events = []
-        self.held_bytes = 0
+        self.held_bytes = self.head_bytes = 0
         self.request_id = request_id
         self.method = event.method.decode("ascii")
         self.target = event.target.decode("latin-1")
         self.headers = [(bytes(name), bytes(value)) for name, value in event.headers]
-        self.body = bytearray()
+        self.body = BodyBlocks()
+        self._holds_body = True
         self.body_limit = 0
+        self.body_weight = 1
         self.on_disconnect = None
         self.on_writable = None
         self.is_complete = False
@@ -156,6 +166,7 @@
         if self.is_done or self.is_started:
             return
         self.is_started = True
+        self.release_body()
         on_response = self.connection.server.on_response
         if on_response is not None:
             on_response(self, status, self.detail)
@@ -178,11 +189,38 @@
     def abort(self):
         """Close the connection, so that the caller sees a truncated response."""
         self.is_done = True
+        self.release_body()
         self.connection.stream.abort()
 
     def handle_disconnect(self):
         """End the exchange and notify its handler that the caller disconnected."""
+        self.held_events = []
+        self.forget_held_bytes()
         if not self.is_done:
             self.is_done = True
+            self.release_body()
             if self.on_disconnect is not None:
                 self.on_disconnect()
+
+    def hold_head(self):
+        """Count the memory of the head in the budget of the process."""
+        self.head_bytes = len(self.target) + sum(
+            HEADER_BYTES + len(name) + len(value) for name, value in self.headers
+        )
+        self.connection.server.budget.hold(self.head_bytes)
+
+    def forget_head(self):
+        """Note that the head is no longer held."""
+        self.connection.server.budget.hold(-self.head_bytes)
+        self.head_bytes = 0
+
+    def release_body(self):
+        """Stop holding the body."""
+        if self._holds_body:
+            self._holds_body = False
+            self.body.release()
+
+    def forget_held_bytes(self):
+        """Note that no part of the response is held back any more."""
+        self.connection.server.budget.hold(-self.held_bytes)
+        self.held_bytes = 0
