--- a/packages/snipebay-node/tests/test_workspace_headers.py
+++ b/packages/snipebay-node/tests/test_workspace_headers.py
@@ -97,7 +97,10 @@
 
     def test_outcomes_of_all_kinds(self):
         lines = io.StringIO()
-        logger = structlog.wrap_logger(structlog.PrintLogger(lines))
+        wrapper = structlog.stdlib.BoundLogger
+        logger = structlog.wrap_logger(
+            structlog.PrintLogger(lines), wrapper_class=wrapper
+        )
         self.forwarder._log._log = logger
         # Not in its place, not known, and in lines that the parser can't read.
         self.send_request(extra=EXTRA)
--- a/packages/snipebay-policy/tests/test_permits.py
+++ b/packages/snipebay-policy/tests/test_permits.py
@@ -6,6 +6,7 @@
 from snipebay_model.messages import PermitReply, PermitRequest, RenewReply
 from snipebay_model.plan import Plan, Route, RoutedService
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
+from snipebay_policy.arrivals import Arrival
 from snipebay_policy.permits import REPLY_TIMEOUT_S, UNSURE_SHARE
 from snipebay_policy.reach import Reach
 from snipebay_policy.routed import RoutedConfig, RoutedCore
@@ -63,7 +64,8 @@
 
     def arrive(self, request_id=1):
         core = self.cores[self.other]
-        core.forward.on_request(request_id, "a.example", "/a/", 2.0, self.now_s)
+        arrival = Arrival(request_id, "a.example", "/a/", 2.0)
+        core.forward.on_request(arrival, self.now_s)
         return core.pop_actions()
 
     def tick(self, seconds):
