Quotas: spare credit at instances, and a shorter start of a new leader

Change: an instance that gets a request every few seconds keeps one to four spare credits, and asks for the next ones while the request runs. The leader counts them until they are used or expire. A new leader deals out as soon as all instances with a lease have reported all that they hold.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -147,7 +147,8 @@
             self._key_counts = self.sessions.key_counts(self.state)
         self.rate_limits.expire(self.state.backends, self._now_s)
         plan = self.state.plan
-        self.credits.tick(plan.workspaces if plan else (), now_s)
+        workspaces = plan.workspaces if plan else ()
+        self.credits.tick(workspaces, now_s, self.state.entries)
         self._update_backend_leases()
         self._remove_expired()
         self._advance_clock()
--- a/packages/snipebay-control/src/snipebay_control/entry_replies.py
+++ b/packages/snipebay-control/src/snipebay_control/entry_replies.py
@@ -23,6 +23,8 @@
             self._outbox.append((sender, reply))
             return
         self.rate_limits.merge(msg.rate_limits, self.state.backends, self._now_s)
+        if msg.reports_all_credit and msg.rate_limits_version[0] == self.raft.term:
+            self.credits.record_complete(msg.row.entry_id)
         row = self.state.entries.get(msg.row.entry_id)
         known = row is not None and row.incarnation == msg.row.incarnation
         if known:
@@ -61,7 +63,7 @@
     def _on_credit_request(self, sender, msg):
         """Grant or deny credit of a workspace to an entry instance."""
         if self._may_serve:
-            reply = self.credits.request(msg, self._now_s)
+            reply = self.credits.request(sender, msg, self._now_s)
         else:
             reply = CreditReply(
                 msg.request_id, msg.workspace, 0, NOT_LEADER_DUE_MS, is_known=False
--- a/packages/snipebay-control/tests/test_credit_board.py
+++ b/packages/snipebay-control/tests/test_credit_board.py
@@ -19,6 +19,7 @@
         self.board.start(0.0)
         self.board.tick((), 0.0)
         self.board.tick(PLAN, 0.0)
+        self.board.tick(PLAN, 2.0, ())
         self.board.tick(PLAN, 10.0)
 
     def report(self, instance, now_s, wanted, held=(0.0, 0.0), delay_s=0.0):
@@ -29,7 +30,7 @@
         return (parts[0].per_s, parts[0].burst) if parts else None
 
     def grant(self, count, now_s, workspace="w"):
-        return self.board.request(CreditRequest(1, workspace, count), now_s)
+        return self.board.request("a", CreditRequest(1, workspace, count), now_s)
 
     def test_part_grows_only_by_what_is_given_up(self):
         first = self.report(A, 10.0, 1_000)
@@ -69,9 +70,45 @@
         self.assertEqual(self.report(B, 20.2, 900), (0.0, 0.0))
         reply = self.grant(50, 21.01)
         self.assertEqual((reply.granted, reply.is_known), (20, False))
-        self.report(A, 23.0, 90, (30.0, 20.0))
-        self.board.tick(PLAN, 24.1)
-        self.assertLessEqual(self.report(B, 24.1, 900)[0], 50.0)
+        for now_s in (23.0, 26.0, 29.0):
+            self.report(A, now_s, 90, (30.0, 20.0))
+        self.board.tick(PLAN, 29.1, ("a", "b"))
+        self.assertEqual(self.report(B, 29.1, 900), (0.0, 0.0))
+        self.board.tick(PLAN, 30.1, ("a", "b"))
+        found = self.report(B, 30.1, 900)
+        self.assertGreater(found[0], 0.0)
+        self.assertLessEqual(found[0], 50.0)
+
+    def test_new_leader_distributes_once_all_instances_have_reported(self):
+        self.board.start(20.0)
+        for instance_id in ("a", "b"):
+            self.board.record_complete(instance_id)
+        # The part of an instance that was removed just before may still be in use.
+        self.board.tick(PLAN, 20.9, ("a", "b"))
+        self.assertEqual(self.report(A, 20.9, 900), (0.0, 0.0))
+        self.board.tick(PLAN, 21.1, ("a", "b"))
+        self.assertGreater(self.report(A, 21.9, 900)[0], 0.0)
+
+    def test_spare_credit_counts_until_it_is_used_or_expires(self):
+        def ask(number, now_s, spare, held=0, count=0):
+            msg = CreditRequest(number, "w", count, spare, held)
+            return self.board.request("a", msg, now_s)
+
+        self.assertEqual(ask(1, 10.0, 3).spare, 3)
+        self.assertEqual(self.grant(500, 10.0).granted, 97)
+        # One was used: it may still be on its way for the time of a grant.
+        self.assertEqual(ask(2, 10.1, 0, held=2).spare, 0)
+        self.assertEqual(self.grant(500, 12.0).granted, 98)
+        self.assertEqual(self.grant(500, 13.7).granted, 98)
+        self.board.tick(PLAN, 20.2)
+        self.assertEqual(self.grant(500, 22.0).granted, 100)
+
+    def test_spare_credit_is_not_taken_from_the_reserve(self):
+        for number in range(40):
+            msg = CreditRequest(1, "w", 0, 4)
+            self.board.request(f"e{number}", msg, 10.0)
+        # The reserve keeps 2 and what the rate yields in 0.9 s at a fifth.
+        self.assertEqual(self.grant(500, 10.0).granted, 20)
 
     def test_only_limited_workspaces_have_state(self):
         self.assertEqual(self.grant(7, 10.0, "free").granted, 7)
--- a/packages/snipebay-model/src/snipebay_model/credits.py
+++ b/packages/snipebay-model/src/snipebay_model/credits.py
@@ -30,6 +30,7 @@
         admitted: Those that got it.
         per_s: Rate of the part that the instance holds, 0 without one.
         burst: Burst of that part.
+        held: Spare credits that the instance holds, see :class:`CreditReply`.
     """
 
     workspace: str
@@ -37,6 +38,7 @@
     admitted: int
     per_s: float = 0.0
     burst: float = 0.0
+    held: int = 0
 
 
 @attrs.frozen
@@ -47,11 +49,15 @@
         request_id: Id, unique for the sender, that the reply repeats.
         workspace: Name of the workspace.
         count: Requests that wait for credit.
+        spare: Further credits that the sender would keep for its next requests.
+        held: Spare credits of earlier replies that it still holds.
     """
 
     request_id: int
     workspace: str
     count: int
+    spare: int = 0
+    held: int = 0
 
 
 @attrs.frozen
@@ -65,6 +71,7 @@
         due_ms: Milliseconds until further credit is due, if not all were granted.
         is_known: False while the sender can't tell, because it doesn't lead or has just
             begun to.
+        spare: Credits to keep for later requests, valid for some seconds.
     """
 
     request_id: int
@@ -72,3 +79,4 @@
     granted: int
     due_ms: int = 0
     is_known: bool = True
+    spare: int = 0
--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -339,6 +339,7 @@
         reads_workspaces: True if the sender can apply plans with workspaces. An older
             build would serve them without asking for a key.
         credit_reports: Use of the limits of workspaces.
+        reports_all_credit: True if they name all credit that the sender holds.
     """
 
     row: EntryRow
@@ -356,6 +357,7 @@
     reads_plan_patches: bool = False
     reads_workspaces: bool = False
     credit_reports: tuple[CreditReport, ...] = ()
+    reports_all_credit: bool = False
 
 
 @attrs.frozen
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -277,7 +277,9 @@
             reads_plan_patches=True,
             reads_workspaces=True,
             credit_reports=self.forward.quota.reports(target, now_s),
+            reports_all_credit=self.forward.quota.reports_all_to(target),
         )
+        self.forward.quota.on_reported(report)
         self.config_lease.record_sent(report.sent_ms, now_s)
         self.queue_action(Send(target, report))
 
@@ -319,6 +321,8 @@
             self._apply_delta(delta, now_s, sender)
         if msg.sent_ms and self.view.revision >= msg.quorum_revision:
             self.config_lease.confirm(msg.sent_ms)
+        if msg.sent_ms:
+            self.forward.quota.on_renewed(msg.sent_ms)
         self.hop_table.update_isolated(msg.isolated)
         # An older revision may have another limit.
         if msg.credit_parts and msg.quorum_revision >= self.view.revision:
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/credit_bucket.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/credit_bucket.py
@@ -5,7 +5,11 @@
 
 import attrs
 
-__all__ = ["CreditBucket"]
+__all__ = ["GRANT_S", "CreditBucket"]
+
+# Time from a request for credit, or from the use of a spare one, to the end of the
+# credit, within the time for which the leader counts it.
+GRANT_S = 0.6
 
 
 @attrs.define
@@ -27,6 +31,7 @@
         credit: Credit available then.
         pending: Requests that took credit of the part and were not dispatched yet.
         returned: Ends of the granted credits that were given back, in order.
+        spare: Ends of the spare credits, in order.
     """
 
     rate_per_s: float
@@ -39,6 +44,7 @@
     credit: float = 0.0
     pending: int = 0
     returned: collections.deque = attrs.Factory(collections.deque)
+    spare: collections.deque = attrs.Factory(collections.deque)
 
     def update(self, now_s):
         """Add the credit that has become due, and end an expired part."""
@@ -50,8 +56,9 @@
         if self.credit >= self.burst - self.pending:
             self.credit = max(0.0, self.burst - self.pending)
             self.full_s = now_s
-        while self.returned and self.returned[0] <= now_s:
-            self.returned.popleft()
+        for ends in (self.returned, self.spare):
+            while ends and ends[0] <= now_s:
+                ends.popleft()
 
     def set_part(self, part, ends_s, now_s):
         """Replace the part; earned credit is kept up to the new burst."""
@@ -81,7 +88,10 @@
         if self.returned:
             return self.returned.popleft()
         if self.credit < 1.0:
-            return None
+            if not self.spare:
+                return None
+            self.spare.popleft()
+            return now_s + GRANT_S
         self.credit -= 1.0
         self.pending += 1
         return math.inf
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
@@ -14,7 +14,7 @@
 from snipebay_model.credits import CreditRequest
 
 from snipebay_policy.work import Send
-from snipebay_policy.workspaces.credit_bucket import CreditBucket
+from snipebay_policy.workspaces.credit_bucket import GRANT_S, CreditBucket
 from snipebay_policy.workspaces.over_limit import OverLimit
 from snipebay_policy.workspaces.quota_account import REFRESH_S, QuotaAccount
 
@@ -22,9 +22,13 @@
 
 # Validity of a part from the sending of the report that it answers.
 PART_S = 4.0
-# Time from a request for credit to the end of the credit, within the time for which the
-# leader counts it.
-GRANT_S = 0.6
+# Validity of a spare credit from the request for it. The leader counts it for longer.
+SPARE_S = 10.0
+# After a reply without spare credit, none is asked for during this time.
+SPARE_PAUSE_S = 1.0
+# A leader without a reply for this long is taken to be lost. Requests that need credit
+# are then rejected at once, but for one that asks on.
+SILENT_S = 0.8
 # A request for credit without a reply is repeated after this time.
 ASK_TIMEOUT_S = 0.4
 # Shortest wait for credit: a lost leader takes longer to replace, but a reply from the
@@ -87,6 +91,9 @@
         self._hosts = frozenset()
         self._ask_ids = itertools.count(1)
         self._applied_ms = -1
+        self._silent_from_s = math.inf
+        self._reported_term = 0
+        self._whole_ms = None
         self._now_s = 0.0
 
     @property
@@ -125,12 +132,14 @@
             self._run(row, now_s)
             return
         account = self._account(row.workspace, now_s)
-        account.wanted += 1
-        account.used_s = now_s
+        account.record_request(now_s)
         if not account.parked and self._take(account, row, now_s):
             self._run(row, now_s)
+            self._ask(account, now_s)
         elif account.over.is_denied(now_s):
             self._deny(account, row, now_s)
+        elif account.parked and now_s >= self._silent_from_s + SILENT_S:
+            self._fail_unknown(row, now_s)
         else:
             account.parked[row.request_id] = row, self._wait_ends_s(row, now_s)
             self._ask(account, now_s)
@@ -205,11 +214,15 @@
 
     def _ask(self, account, now_s):
         """Ask the leader for credit, unless it is asked already."""
-        if account.ask_id or not account.parked:
+        if account.ask_id:
+            return
+        count, spare = len(account.parked), account.spare_wanted(now_s)
+        if not (count or spare):
             return
         account.ask_id, account.asked_s = next(self._ask_ids), now_s
         if self.ctx.commands.leader:
-            msg = CreditRequest(account.ask_id, account.name, len(account.parked))
+            held = len(account.bucket.spare)
+            msg = CreditRequest(account.ask_id, account.name, count, spare, held)
             self.ctx.queue_action(Send(self.ctx.commands.leader, msg))
 
     def on_reply(self, msg, now_s):
@@ -219,6 +232,7 @@
         counted no longer.
         """
         self._now_s = now_s
+        self._silent_from_s = math.inf
         account = self._accounts.get(msg.workspace)
         if account is None or account.ask_id != msg.request_id:
             return
@@ -236,6 +250,9 @@
             self._run(row, now_s)
         # What parked requests leave over because their callers have left.
         account.bucket.returned.extend([until_s] * granted)
+        account.bucket.spare.extend([account.asked_s + SPARE_S] * msg.spare)
+        if not msg.spare:
+            account.spare_after_s = now_s + SPARE_PAUSE_S
         if not msg.is_known:
             # The leader has just begun to lead; the parked requests may wait for it.
             account.ask_id = CLOSED
@@ -271,13 +288,37 @@
         """
         if target != self.ctx.commands.leader:
             return ()
+        reports_all = self.reports_all_to(target)
         rows = []
         for account in self._accounts.values():
-            account.bucket.update(now_s)
-            if account.is_report_due(now_s):
+            bucket = account.bucket
+            bucket.update(now_s)
+            is_held = bool(bucket.per_s or bucket.spare)
+            if account.is_report_due(now_s) or (is_held and reports_all):
                 rows.append(account)
         rows.sort(key=lambda a: (-a.wanted, -a.bucket.per_s, a.name))
-        return tuple(account.report(now_s) for account in rows[:MAX_REPORTS])
+        limit = None if reports_all else MAX_REPORTS
+        return tuple(account.report(now_s) for account in rows[:limit])
+
+    def reports_all_to(self, target):
+        """Return True if a report must name all credit that is held here.
+
+        A new leader deals out nothing new before, since it can't know what an earlier
+        one gave away.
+        """
+        is_new = self.ctx.rate_limits.version[0] != self._reported_term
+        return is_new and target == self.ctx.commands.leader
+
+    def on_reported(self, renewal):
+        """Note a renewal that names all credit."""
+        if renewal.reports_all_credit and self._whole_ms is None:
+            self._whole_ms = renewal.sent_ms, renewal.rate_limits_version[0]
+
+    def on_renewed(self, sent_ms):
+        """Handle a reply of the leader to a renewal."""
+        if self._whole_ms is not None and sent_ms >= self._whole_ms[0]:
+            self._reported_term = self._whole_ms[1]
+            self._whole_ms = None
 
     def apply_parts(self, parts, sent_ms, now_s):
         """Use the parts in a reply, unless a later one has overtaken it."""
@@ -318,6 +359,8 @@
             self._check_dispatched(row, now_s)
         for name, account in list(self._accounts.items()):
             if account.ask_id and now_s >= account.asked_s + ASK_TIMEOUT_S:
+                if account.ask_id != CLOSED:
+                    self._silent_from_s = min(self._silent_from_s, account.asked_s)
                 account.ask_id = 0
             if account.parked:
                 self._admit_parked(account, now_s)
@@ -330,12 +373,15 @@
 
     def _end_waits(self, account, now_s):
         """Refuse the requests that have waited too long for a reply."""
-        detail = "the quota of the workspace is not known now"
         for row, ends_s in list(account.parked.values()):
             if now_s >= ends_s:
                 del account.parked[row.request_id]
-                self.denials["quota_unknown"] += 1
-                self._fail_request(row, 503, "quota_unknown", detail, now_s, None)
+                self._fail_unknown(row, now_s)
+
+    def _fail_unknown(self, row, now_s):
+        self.denials["quota_unknown"] += 1
+        detail = "the quota of the workspace is not known now"
+        self._fail_request(row, 503, "quota_unknown", detail, now_s, None)
 
     def _account(self, workspace, now_s):
         account = self._accounts.get(workspace.name)
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/quota_account.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/quota_account.py
@@ -19,6 +19,14 @@
 GIVEN_UP = 0.9
 # Requests per second without which the leader gives no part.
 MIN_USE_PER_S = 0.5
+# Spare credits serve the requests of this time: a round trip to the leader and the
+# interval of its work.
+SPARE_TIME_S = 0.3
+MAX_SPARE = 4
+# With a longer gap, a spare credit is likely to expire unused, which is lost for all.
+MAX_SPARE_GAP_S = 4.0
+# Longest gap between requests that counts, and the weight of the newest one.
+MAX_GAP_S, GAP_WEIGHT = 10.0, 0.3
 
 
 @attrs.define
@@ -37,6 +45,8 @@
         parked: Pairs of request and end of its wait by id, in order of arrival.
         ask_id: Id of the open request for credit, 0 without one.
         asked_s: When it was sent.
+        gap_s: Moving average of the time between two requests.
+        spare_after_s: When spare credit may be asked for again.
     """
 
     name: str
@@ -50,6 +60,29 @@
     parked: dict = attrs.Factory(dict)
     ask_id: int = 0
     asked_s: float = -math.inf
+    gap_s: float = MAX_GAP_S
+    spare_after_s: float = -math.inf
+
+    def record_request(self, now_s):
+        """Count a request that asks for credit."""
+        gap_s = min(max(0.0, now_s - self.used_s), MAX_GAP_S)
+        self.gap_s += GAP_WEIGHT * (gap_s - self.gap_s)
+        self.wanted += 1
+        self.used_s = now_s
+
+    def spare_wanted(self, now_s):
+        """Return how many spare credits to ask for.
+
+        They serve the requests that arrive until the next reply. An instance with a
+        part saves up credit there.
+        """
+        bucket = self.bucket
+        if self.gap_s > MAX_SPARE_GAP_S or now_s < self.spare_after_s:
+            return 0
+        if bucket.per_s or self.over.is_denied(now_s):
+            return 0
+        target = min(MAX_SPARE, 1 + int(SPARE_TIME_S / max(self.gap_s, 0.01)))
+        return max(0, target - len(bucket.spare))
 
     def is_report_due(self, now_s):
         """Return True if the leader should know what the requests need."""
@@ -73,4 +106,7 @@
         self.wanted = self.admitted = 0
         bucket = self.bucket
         self.reported_s, self.reported_per_s = now_s, bucket.per_s
-        return CreditReport(self.name, wanted, admitted, bucket.per_s, bucket.burst)
+        held = len(bucket.spare)
+        return CreditReport(
+            self.name, wanted, admitted, bucket.per_s, bucket.burst, held
+        )
--- a/packages/snipebay-testbed/src/snipebay_testbed/quota_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/quota_rig.py
@@ -45,6 +45,7 @@
         self.rig = rig
         self.row = types.SimpleNamespace(entry_id=f"e{number}")
         self.commands = types.SimpleNamespace(leader="c0")
+        self.rate_limits = types.SimpleNamespace(version=(rig.term, 0))
         self.workspaces = WorkspaceTable(rig.workspaces)
         self.workspace_use = WorkspaceUse()
         self.incarnation = 0
@@ -90,10 +91,17 @@
         rig = self.rig
         rig.scheduler.after(rig.renew_interval_s, self.run, self.renew)
         sent_ms = int(rig.now_s * 1_000)
-        reports = self.quota.reports(self.commands.leader, rig.now_s)
-        if reports:
-            key = (self.row.entry_id, self.incarnation)
-            rig.to_leader(self, rig.on_reports, key, sent_ms, reports)
+        leader = self.commands.leader
+        renewal = types.SimpleNamespace(
+            row=types.SimpleNamespace(entry_id=self.row.entry_id),
+            incarnation=self.incarnation,
+            sent_ms=sent_ms,
+            credit_reports=self.quota.reports(leader, rig.now_s),
+            reports_all_credit=self.quota.reports_all_to(leader),
+            rate_limits_version=self.rate_limits.version,
+        )
+        self.quota.on_reported(renewal)
+        rig.to_leader(self, rig.on_renewal, renewal)
 
     def _on_start(self, row, now_s):
         row.attempt_count = 1
@@ -128,6 +136,7 @@
         )
         self.rules = rules or QuotaRules()
         self.board = None
+        self.term = 0
         self.requests = self.messages = 0
         self.ran, self.failed = {}, {}
         self.instances = []
@@ -145,6 +154,7 @@
 
     def elect(self):
         """Replace the leader by a new one."""
+        self.term += 1
         self.board = CreditBoard(self.rules)
         self.board.start(self.now_s)
         self.board.tick(self.workspaces, self.now_s)
@@ -219,18 +229,24 @@
 
     def on_credit_request(self, instance, msg):
         self.messages += 2
-        reply = self.board.request(msg, self.now_s)
+        reply = self.board.request(instance.row.entry_id, msg, self.now_s)
         assert isinstance(reply, CreditReply)
         self._to_instance(instance, lambda: instance.quota.on_reply(reply, self.now_s))
 
-    def on_reports(self, instance, key, sent_ms, reports):
-        parts = self.board.report(key, sent_ms, reports, self.now_s)
+    def on_renewal(self, instance, msg):
+        key = (msg.row.entry_id, msg.incarnation)
+        if msg.reports_all_credit and msg.rate_limits_version[0] == self.term:
+            self.board.record_complete(msg.row.entry_id)
+        parts = self.board.report(key, msg.sent_ms, msg.credit_reports, self.now_s)
+        term = self.term
 
-        def apply_parts():
+        def apply_reply():
             if instance.incarnation == key[1]:
-                instance.quota.apply_parts(parts, sent_ms, self.now_s)
+                instance.rate_limits.version = (term, 0)
+                instance.quota.on_renewed(msg.sent_ms)
+                instance.quota.apply_parts(parts, msg.sent_ms, self.now_s)
 
-        self._to_instance(instance, apply_parts)
+        self._to_instance(instance, apply_reply)
 
     def _to_instance(self, instance, callback):
         def deliver():
@@ -241,7 +257,8 @@
 
     def _tick_board(self):
         if self.board is not None:
-            self.board.tick(self.workspaces, self.now_s)
+            ids = {i.row.entry_id for i in self.instances if not i.is_gone}
+            self.board.tick(self.workspaces, self.now_s, ids)
         self.scheduler.after(TICK_S, self._tick_board)
 
     # --- results ----------------------------------------------------------
--- a/packages/snipebay-testbed/tests/test_quota_bound.py
+++ b/packages/snipebay-testbed/tests/test_quota_bound.py
@@ -102,7 +102,8 @@
         lowered = (("large", LARGE / 4), ("small", SMALL / 2))
         rig.set_limits(lowered, delay_s=1.0)
         since_s = rig.now_s + 1.0
-        self.load(rig, 14)
+        # 60 requests of the small workspace; with 14 of them, one is 7 % of its limit.
+        self.load(rig, 44)
         for name, rate in lowered:
             self.assertLessEqual(rig.excess(name, rate, since_s), 0, name)
             self.assertGreater(rig.used(name, rate, since_s + 5.0), 0.9, name)
--- a/packages/snipebay-testbed/tests/test_quotas_with_control.py
+++ b/packages/snipebay-testbed/tests/test_quotas_with_control.py
@@ -3,7 +3,7 @@
 import unittest
 
 import attrs
-from snipebay_model.messages import ApplyPlan
+from snipebay_model.messages import ApplyWorkspacePlan
 from snipebay_model.workspace import Workspace, key_digest
 from snipebay_policy.arrivals import Arrival
 from snipebay_testbed.routed_rig import HOST, PREFIX, RoutedRig
@@ -22,7 +22,7 @@
         workspace = Workspace("w", (key_digest(b"k"),), rate_per_s=rate, burst=rate)
         leader = self.rig.control.leader.core
         plan = attrs.evolve(leader.state.plan, version=2, workspaces=(workspace,))
-        command = ApplyPlan("d2", 1, plan)
+        command = ApplyWorkspacePlan("d2", 1, plan)
         self.assertEqual(self.rig.control.call(command).code, "ok")
         self.rig.scheduler.run_for(2.0)
 
