Backend servers that name a pace get work by their expected time

Cause: `_report_load` dropped the fourth figure of the load header, so a server on a busy machine was expected to be as fast as at any other time.

Expected times and the length of a queue that still meets the target count with it, and ServiceTimes learns the usual time. Costs moved to `balancing/cost.py`. A service that names no pace is served as before: its pace is 1.0.

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -305,10 +305,12 @@
             self.run_actions()
 
     def _report_load(self, attempt_id, headers):
-        """Pass the load that a backend server reports in a header to the core."""
-        load = response_headers.parse_load(headers.get(self.header_names.load, b""))
+        """Pass the load and pace that a backend server reports to the core."""
+        value = headers.get(self.header_names.load, b"")
+        load = response_headers.parse_load(value)
         if load is not None:
-            self.core.forward.on_load_report(attempt_id, *load, self.clock())
+            pace = response_headers.parse_pace(value)
+            self.core.forward.on_load_report(attempt_id, *load, self.clock(), pace)
 
     def _report_rate_limit(self, attempt_id, headers):
         """Pass the rate limit that a backend server named, or did not, to the core."""
--- a/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
+++ b/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
@@ -16,11 +16,14 @@
             return None
         return row
 
-    def on_load_report(self, attempt_id, running, waiting, now_s):
-        """Record the load that a backend server reported."""
+    def on_load_report(self, attempt_id, running, waiting, now_s, pace=None):
+        """Record the load that a backend server reported, and its pace if it did."""
         row = self._row_at_backend(attempt_id)
-        if row is not None:
-            row.attempt.member.update_load(running, waiting, now_s)
+        if row is None:
+            return
+        row.attempt.member.update_load(running, waiting, now_s, pace)
+        if pace is not None:
+            row.attempt.pace = pace
 
     def on_rate_limit(self, attempt_id, per_s, now_s):
         """Record the rate limit that a response named, None if it named none."""
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -4,6 +4,7 @@
 import math
 
 from snipebay_policy.affinity_tiers import AffinityTiers
+from snipebay_policy.balancing.cost import MIN_SERVICE_S, expected_cost_s, max_load
 from snipebay_policy.fleet_rows import Choice, FleetCounts, FleetTiming, Member
 from snipebay_policy.member_index import MemberIndex
 from snipebay_policy.service_times import MIN_STALL_S, OTHER, PRIMARY, SECONDARY
@@ -11,23 +12,6 @@
 
 __all__ = ["Fleet"]
 
-# Cost of using another failure domain, in seconds of latency: a small part for the
-# network delay, the rest for bytes between failure domains, which are billed.
-CROSS_DOMAIN_COST_S = 0.05
-# Requests that may wait at a backend server, as a share of its slots.
-MAX_QUEUE_SHARE = 1.0
-# Requests that may always wait, so that no slot is idle for a round trip.
-MIN_QUEUE = 1.0
-MIN_SERVICE_S = 0.001
-# Utilization up to which a backend server gets requests for keys whose data it has not
-# cached. They take several times as long, so at a higher utilization they would cost
-# more throughput than they add.
-OTHER_LOAD_SHARE = 0.25
-# The same for the secondary backend servers of a key.
-SECONDARY_LOAD_SHARE = 0.75
-# Cost of a full backend server over an idle one, in seconds of latency, so that load
-# spreads evenly over otherwise equal ones.
-FULL_LOAD_COST_S = 0.02
 # Entry instances that may use one cold backend server, and the share of its rate that
 # each may use. The sum stays below 1 even when all of them are replaced at once.
 COLD_OWNERS = 3
@@ -200,7 +184,6 @@
         members = self._responsive(service, region, now_s)
         tiers = self.tiers.find(service, members, key, key_count) if key else {}
         expected_s = [times.expected_s(tier) for tier in (PRIMARY, SECONDARY, OTHER)]
-        queue_s = target_s - expected_s[PRIMARY]
         best, best_cost, best_tier = None, (True, math.inf), PRIMARY
         for member in members:
             row = member.row
@@ -215,14 +198,15 @@
             if member.ejections and member.in_flight:
                 # After an ejection, one request at a time until one succeeds.
                 continue
-            if load >= _max_load(row.slots, tier, queue_s, times.mean_s):
+            pace = member.pace_at(now_s)
+            mean_s = times.mean_s * pace
+            queue_s = target_s - expected_s[PRIMARY] * pace
+            if load >= max_load(row.slots, tier, queue_s, mean_s):
                 continue
             if not self._may_send_cold(member, cold_per_s, now_s):
                 continue
-            queued = max(0.0, load + 1 - row.slots)
-            cost = expected_s[tier] + queued / row.slots * times.mean_s
-            cost += load / row.slots * FULL_LOAD_COST_S
-            cost += CROSS_DOMAIN_COST_S if row.domain != self.domain else 0.0
+            tier_s = expected_s[tier] * pace
+            cost = expected_cost_s(row, load, tier_s, mean_s, self.domain)
             ranked = (row.domain in avoid_domains, cost)
             if ranked < best_cost:
                 best, best_cost, best_tier = member, ranked, tier
@@ -244,6 +228,7 @@
         if not member.in_flight:
             member.unresponsive_from_s = now_s + stall_timeout_s
         member.in_flight += 1
+        member.begun_s.append(now_s)
         if now_s < member.cold_until_s:
             member.next_cold_s = now_s + 1 / (cold_per_s * COLD_RATE_SHARE)
 
@@ -353,21 +338,3 @@
             member.cold_until_s = -math.inf
         member.row = row
         return member
-
-
-def _max_load(slots, tier, queue_s, mean_s):
-    """Return the load below which a backend server may get one more request.
-
-    A request that would wait there for longer than the target latency allows gets
-    a late response, and takes a slot from a request that could still be on time.
-
-    Args:
-        slots: Slots of the backend server.
-        tier: Its affinity tier for the request's key.
-        queue_s: Time that a request to a primary backend server may wait there.
-        mean_s: Mean service time.
-    """
-    if tier != PRIMARY:
-        return slots * (OTHER_LOAD_SHARE if tier == OTHER else SECONDARY_LOAD_SHARE)
-    queue = slots * queue_s / max(mean_s, MIN_SERVICE_S)
-    return slots + min(max(queue, MIN_QUEUE), slots * MAX_QUEUE_SHARE)
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -143,7 +143,7 @@
             if row.attempt.found_slot:
                 elapsed_s = now_s - row.attempt.started_s
                 times = self.ctx.times(row.service)
-                times.record_unqueued(elapsed_s, row.attempt.tier)
+                times.record_unqueued(elapsed_s / row.attempt.pace, row.attempt.tier)
         if status in PROMISE_STATUSES and not (row.route.idempotent or row.is_relayed):
             self._fail_unstated_refusal(row, status, now_s)
             return
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -38,6 +38,7 @@
         tier: Affinity tier of the backend server for the request's key.
         is_written: True once a byte may have reached the backend server.
         is_hop: True when it goes through another entry instance.
+        pace: Pace of the backend server that the response named, 1.0 if none.
     """
 
     attempt_id: int
@@ -47,6 +48,7 @@
     tier: int
     is_written: bool = False
     is_hop: bool = False
+    pace: float = 1.0
 
 
 @attrs.define
--- a/packages/snipebay-policy/src/snipebay_policy/service_times.py
+++ b/packages/snipebay-policy/src/snipebay_policy/service_times.py
@@ -72,7 +72,12 @@
         self.slowest_s = max(elapsed_s, past_s)
 
     def record_unqueued(self, elapsed_s, tier):
-        """Record the time to a response to a request that found a free slot."""
+        """Record the time to a response to a request that found a free slot.
+
+        Args:
+            elapsed_s: Time to the response at the usual pace of a backend server.
+            tier: Affinity tier of the backend server for the request's key.
+        """
         self.samples[tier] += 1
         self.by_tier[tier] += SAMPLE_WEIGHT * (elapsed_s - self.by_tier[tier])
         self.mean_s += SAMPLE_WEIGHT * (elapsed_s - self.mean_s)
--- a/packages/snipebay-testbed/src/snipebay_testbed/affinity_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/affinity_study.py
@@ -21,9 +21,8 @@
 
 __all__ = ["AffinityStudy", "StudyLoad", "StudyResult"]
 
-DOMAIN_DELAY_S, REGION_DELAY_S = 0.004, 0.035
+REGION_DELAY_S = 0.035
 REGIONS = ("a", "b", "c")
-DOMAINS_PER_REGION = 3
 SERVICE = "s"
 
 
@@ -44,6 +43,9 @@
         target_s: Target latency.
         slots: Slots of a backend server.
         seconds: Length of the run.
+        domains: Failure domains of a region.
+        domain_delay_s: One-way latency between failure domains of a region.
+        zipf: Exponent of the popularity of the keys of a region, 0 for equal ones.
     """
 
     instances: int
@@ -58,6 +60,9 @@
     target_s: float = 1.0
     slots: int = 6
     seconds: float = 24.0
+    domains: int = 3
+    domain_delay_s: float = 0.004
+    zipf: float = 0.0
 
 
 @attrs.define
@@ -149,7 +154,9 @@
         self.scheduler = Scheduler()
         self.result = StudyResult()
         self.count_keys = count_keys
-        domains = [f"{r}-{n}" for r in REGIONS for n in range(DOMAINS_PER_REGION)]
+        weights = 1.0 / np.arange(1, load.keys + 1) ** load.zipf
+        self.popularity = weights / weights.sum()
+        domains = [f"{r}-{n}" for r in REGIONS for n in range(load.domains)]
         rows = [
             BackendRow(f"i{d}-{n}", SERVICE, f"10.0.1.{n}:{d[-1]}", d[0], d, load.slots)
             for d in domains
@@ -159,7 +166,7 @@
             EntryRow(f"e{n}", "x", f"10.0.0.{n}:1", f"e{n}", d[0], d)
             for n, d in zip(range(load.instances), itertools.cycle(domains))
         ]
-        view = View(1, backends=tuple(rows), entries=tuple(entries))
+        view = self.view = View(1, backends=tuple(rows), entries=tuple(entries))
         self.backends = {row.backend_id: _Backend(row) for row in rows}
         self.hosts = {d: [] for d in domains}
         for row in entries:
@@ -188,7 +195,7 @@
         """Return the region in which each key runs, by the shares of the regions."""
         load = self.load
         slots = {
-            region: count * DOMAINS_PER_REGION * load.slots
+            region: count * load.domains * load.slots
             for region, count in zip(REGIONS, load.backends, strict=True)
         }
         demand = {
@@ -213,13 +220,18 @@
     def _arrive(self):
         load = self.load
         region = REGIONS[int(self.rng.choice(len(REGIONS), p=load.demand))]
-        domain = f"{region}-{int(self.rng.integers(DOMAINS_PER_REGION))}"
+        domain = f"{region}-{int(self.rng.integers(load.domains))}"
         hosts = self.hosts[domain]
-        key = f"{domain[0]}{int(self.rng.integers(load.keys))}"
+        key = f"{domain[0]}{self._next_key()}"
         self._send(hosts[int(self.rng.integers(len(hosts)))], key, self._now_s)
         delay_s = float(self.rng.exponential(1 / load.per_s))
         self.scheduler.after(delay_s, self._arrive)
 
+    def _next_key(self):
+        if not self.load.zipf:
+            return int(self.rng.integers(self.load.keys))
+        return int(self.rng.choice(self.load.keys, p=self.popularity))
+
     @property
     def _now_s(self):
         return self.scheduler.now_s
@@ -257,7 +269,7 @@
         if host.row.domain == member.row.domain:
             return 0.0002
         same_region = host.row.region == member.row.region
-        return DOMAIN_DELAY_S if same_region else REGION_DELAY_S
+        return self.load.domain_delay_s if same_region else REGION_DELAY_S
 
     def _reach(self, request):
         backend = self.backends[request.member.row.backend_id]
@@ -276,24 +288,39 @@
             backend.started += 1
             mean_s = self.load.cached_s if is_cached else self.load.cold_s
             spread = 0.85 + 0.3 * float(self.rng.random())
-            self.scheduler.after(mean_s * spread, self._end, backend, request)
+            busy_s = mean_s * spread * self._pace_of(backend)
+            self.scheduler.after(busy_s, self._end, backend, request)
+
+    def _pace_of(self, backend):
+        """Return how long work takes on a backend server now, 1.0 for the usual."""
+        return 1.0
+
+    def _report_of(self, backend):
+        """Return what a response says of the load of its backend server."""
+        return backend.running, len(backend.queue)
 
     def _end(self, backend, request):
         backend.running -= 1
         self._start(backend)
-        report = backend.running, len(backend.queue)
+        report = self._report_of(backend)
         delay_s = self._delay_s(request.host, request.member)
         self.scheduler.after(delay_s, self._respond, request, report)
 
     def _respond(self, request, report):
         host, now_s = request.host, self._now_s
         elapsed_s = now_s - request.sent_s
-        request.member.update_load(*report, now_s)
+        self._record_report(request, report)
         host.fleet.end_request(request.member)
         if request.found_slot:
-            host.times.record_unqueued(elapsed_s, request.tier)
+            self._record_unqueued(request, elapsed_s, report)
         self._count(host, request.member, request.arrived_s, now_s)
 
+    def _record_report(self, request, report):
+        request.member.update_load(*report, self._now_s)
+
+    def _record_unqueued(self, request, elapsed_s, report):
+        request.host.times.record_unqueued(elapsed_s, request.tier)
+
     def _count(self, host, member, arrived_s, end_s):
         result = self.result
         is_settled = arrived_s > self.load.seconds / 3
