Instances of a region pass load and pace reports on

Cause: an instance meets a server every few seconds, so it believes in a free slot while requests of other instances have them all.

Only responses that name a pace are reported, so other deployments send nothing.

--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -48,7 +48,12 @@
     heartbeat_s=0.15, election_min_s=0.7, election_max_s=2.1, leader_lease_s=0.6
 )
 MIN_ERROR_STATUS = 400
-ENTRY_MESSAGES = (messages.RenewReply, messages.PermitRequest, messages.PermitReply)
+ENTRY_MESSAGES = (
+    messages.RenewReply,
+    messages.PermitRequest,
+    messages.PermitReply,
+    messages.LoadNews,
+)
 
 log = structlog.get_logger(__name__)
 
--- a/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
+++ b/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
@@ -24,6 +24,7 @@
         row.attempt.member.update_load(running, waiting, now_s, pace)
         if pace is not None:
             row.attempt.pace = pace
+            self.ctx.load_exchange.record(row.attempt.member)
 
     def on_rate_limit(self, attempt_id, per_s, now_s):
         """Record the rate limit that a response named, None if it named none."""
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -11,6 +11,7 @@
 from snipebay_model.view import View
 
 from snipebay_policy.action_queue import ActionQueue
+from snipebay_policy.balancing.load_exchange import LoadExchange
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.forward import ForwardSystem
@@ -79,6 +80,7 @@
         table: :class:`RouteTable` of the plan in force, or None.
         workspaces: :class:`WorkspaceTable` of the plan in force.
         fleet: Backend servers.
+        load_exchange: Reports of backend servers for other instances of the region.
         reach: Whether backend servers are reached from here.
         hop_table: Entry instances to send requests through when they are not.
         rate_limits: Rate limits that backend servers have named.
@@ -94,6 +96,7 @@
         self.table = None
         self.workspaces = WorkspaceTable()
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
+        self.load_exchange = LoadExchange(cfg.row.entry_id, cfg.row.region)
         self.rate_limits = RateLimitTable(self.record_event)
         self.reach = ReachMonitor()
         self.hop_table = HopTable(cfg.row)
@@ -155,11 +158,14 @@
             self.forward.queue.permits.on_request(sender, body, now_s)
         elif isinstance(body, messages.PermitReply):
             self.forward.queue.permits.on_reply(body, now_s)
+        elif isinstance(body, messages.LoadNews):
+            self.load_exchange.receive(body, self.fleet.members, now_s)
 
     def tick(self, now_s):
         """Run the periodic work that is due."""
         self.commands.tick(now_s)
         self.forward.tick(now_s)
+        self._exchange_load(now_s)
         if now_s >= self._next_share_update_s:
             self._next_share_update_s = now_s + self.cfg.share_update_interval_s
             self._sample_needs(now_s)
@@ -336,6 +342,7 @@
         self.view = view
         self.update_budgets()
         self.fleet.apply_view(view, now_s)
+        self.load_exchange.apply_view(view)
         self.hop_table.apply_view(view)
         self.rate_limits.apply_view(view)
         self.forward.queue.permits.apply_view(view)
@@ -344,6 +351,12 @@
             # Operators see from the reports what is in force.
             self._renew(now_s)
 
+    def _exchange_load(self, now_s):
+        """Send the load news that are due."""
+        found = self.load_exchange.next_message(now_s)
+        if found is not None:
+            self.queue_action(Send(*found))
+
     def _update_shares(self, now_s):
         services = self.table.services if self.table else ()
         self.fleet.apply_rate_limits(self.rate_limits, self.times, now_s)
