Popular keys get several primaries where servers name paces

Cause: the most popular key of a region has a fifth of its requests under Zipf 1.0, and they all went to one server.

`balancing/popularity.py` counts the requests of this instance by key, with a decay of 15 s, and spreads a key over the first 1, 2, 4, ... servers in its order, so that it brings half of the mean load to each. Numbers have hysteresis; below four own requests a key keeps one server. Instances that disagree use parts of the same servers. Two of them, in turn, are primary for a request.

--- a/packages/snipebay-policy/src/snipebay_policy/affinity_tiers.py
+++ b/packages/snipebay-policy/src/snipebay_policy/affinity_tiers.py
@@ -29,7 +29,7 @@
         """Forget the cached hashes, after members were removed."""
         self._ranks.clear()
 
-    def find(self, service, members, key, key_count, near=()):
+    def find(self, service, members, key, key_count, near=(), spread=None):
         """Return affinity tiers for a key, by id, of members of one region.
 
         The members of a failure domain cache a share of the keys, which have a primary
@@ -45,6 +45,7 @@
             key: Affinity key.
             key_count: Number of keys that are used recently.
             near: Failure domains near this instance's own, with it, or empty.
+            spread: :class:`KeySpread` of the key, or None for a single primary.
         """
         ranked = self._ranked(service, members, key)
         group = "+".join(sorted(near))
@@ -67,7 +68,11 @@
         primary = primaries.get(group or self.domain) or shared
         secondaries = [i for i in primaries.values() if i != primary]
         secondaries = secondaries or [i for i in groups if i != primary][:1]
-        return {**dict.fromkeys(secondaries, SECONDARY), primary: PRIMARY}
+        tiers = {**dict.fromkeys(secondaries, SECONDARY), primary: PRIMARY}
+        if spread is None or primary is None:
+            return tiers
+        peers = [i for i, name in groups.items() if name == groups[primary]]
+        return tiers | spread.tiers(peers)
 
     def _ranked(self, service, members, key):
         """Return members by rendezvous hash of a key, in the same order everywhere."""
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -11,6 +11,7 @@
     max_load,
 )
 from snipebay_policy.balancing.near_domains import NearDomains
+from snipebay_policy.balancing.popularity import KeyPopularity, KeySpread
 from snipebay_policy.fleet_rows import Choice, FleetCounts, FleetTiming, Member
 from snipebay_policy.member_index import MemberIndex
 from snipebay_policy.service_times import MIN_STALL_S, OTHER, PRIMARY, SECONDARY
@@ -37,6 +38,7 @@
         members: :class:`Member` by id.
         affinity: :class:`AffinityTable` by service.
         tiers: Affinity tiers of the members.
+        popularity: :class:`KeyPopularity` by service and region.
         near_domains: Failure domains that share primaries with this instance's own.
         rate_shares: Share of its full rate that a member may use, by id of those with
             a rate limit.
@@ -58,6 +60,7 @@
         self.rate_shares = {}
         self.tiers = AffinityTiers(domain)
         self.near_domains = NearDomains(domain, region)
+        self.popularity = {}
 
     def apply_view(self, view, now_s):
         """Replace the table's contents by a view; known members keep their state."""
@@ -194,8 +197,9 @@
         tiers = {}
         if key:
             near = self.near_domains.near(target_s)
+            spread = self._spread(service, region, key)
             find = self.tiers.find
-            tiers = find(service, members, key, key_count, near)
+            tiers = find(service, members, key, key_count, near, spread)
         expected_s = [times.expected_s(tier) for tier in (PRIMARY, SECONDARY, OTHER)]
         best, best_cost, best_tier = None, (True, math.inf), PRIMARY
         for member in members:
@@ -227,6 +231,19 @@
                 best, best_cost, best_tier = member, ranked, tier
         return None if best is None else Choice(best, best_tier)
 
+    def record_key(self, service, region, key, now_s):
+        """Count a request with an affinity key, where backend servers name paces."""
+        if self.near_domains.is_enabled:
+            found = self.popularity.setdefault((service, region), KeyPopularity())
+            found.record(key, now_s)
+
+    def _spread(self, service, region, key):
+        found = self.popularity.get((service, region))
+        if found is None:
+            return None
+        start = int.from_bytes(rendezvous_rank(self.entry_id, key))
+        return KeySpread(found, key, start)
+
     def _responsive(self, service, region, now_s):
         """Return the usable members of a region without the unresponsive ones.
 
--- a/packages/snipebay-policy/src/snipebay_policy/service_tables.py
+++ b/packages/snipebay-policy/src/snipebay_policy/service_tables.py
@@ -65,6 +65,7 @@
         if sketch is None:
             sketch = self._key_sketches[service, region] = KeySketch(KEY_RETENTION_S)
         sketch.record(key, now_s)
+        self.fleet.record_key(service, region, key, now_s)
 
     def key_count(self, service, region):
         """Return the number of affinity keys that all instances send to a region."""
