Metrics on paces, load news and near failure domains

`snipebay_pace` by service, `snipebay_load_news` by outcome from a fixed set, and `snipebay_near_domains`. Expected load is in `snipebay_slots` already.

--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -4,6 +4,9 @@
 
 __all__ = ["StateCollector"]
 
+# Targets are shorter; the domains that are near for some target are counted.
+MAX_TARGET_S = 60.0
+
 
 class StateCollector:
     """Collector of gauges for a Prometheus registry.
@@ -43,6 +46,7 @@
         slots = _service_gauge("slots", "Slots of backend servers in view.", "state")
         backends = _service_gauge("backends", "Backend servers in view.", "state")
         budget = _service_gauge("retry_budget", "Retries that are allowed now.")
+        pace = _service_gauge("pace", "Mean time of work, 1 for the usual one.")
         waiting = _service_gauge("waiting_requests", "Requests that wait for room.")
         shares = _service_gauge(
             "region_share", "Share of requests by region.", "region"
@@ -58,6 +62,14 @@
             limited.add_metric((service,), len(rows))
             own_rows = (row for row in rows if entry.owns(row.backend_id))
             owned.add_metric((service,), sum(row.per_s for row in own_rows))
+        news = CounterMetricFamily(
+            "snipebay_load_news", "Messages and rows on load.", labels=("outcome",)
+        )
+        for outcome, count in entry.load_exchange.counts.items():
+            news.add_metric((outcome,), count)
+        yield news
+        near = len(entry.fleet.near_domains.near(MAX_TARGET_S))
+        yield _gauge("near_domains", "Domains that share primaries, or 0.", near)
         for outcome, count in entry.forward.queue.permits.counts.items():
             permits.add_metric((outcome,), count)
         for service, counts in entry.fleet.summary(now_s).items():
@@ -65,6 +77,7 @@
                 slots.add_metric((service, state), count)
             for state, count in counts.members.items():
                 backends.add_metric((service, state), count)
+            pace.add_metric((service,), counts.pace)
             budget.add_metric((service,), entry.budget(service).credit)
             waiting_count = len(entry.forward.queue.waiting.get(service, ()))
             waiting.add_metric((service,), waiting_count)
@@ -73,6 +86,7 @@
         yield from (
             slots,
             backends,
+            pace,
             budget,
             waiting,
             shares,
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -153,6 +153,7 @@
             service: FleetCounts(
                 collections.Counter(self._state(m, now_s) for m in members),
                 self._slots_by_state(members, now_s),
+                sum(m.pace_at(now_s) for m in members) / len(members),
             )
             for service, members in self._by_service.items()
         }
--- a/packages/snipebay-policy/src/snipebay_policy/fleet_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet_rows.py
@@ -140,10 +140,12 @@
             ``closed``.
         slots: ``total`` of the open ones, requests of this instance there as
             ``ours``, and estimated requests of other instances as ``others``.
+        pace: Mean expected pace, 1.0 for the usual one.
     """
 
     members: dict
     slots: dict
+    pace: float = 1.0
 
 
 @attrs.frozen
