Popular keys are told apart by significance

Cause: four own requests were needed before a key was spread, which an instance of hundreds never sees of a key within the decay time.

A key is spread once its weight exceeds that which one server may have by three standard deviations and one request, and the decay time is 30 s.

--- a/packages/snipebay-policy/src/snipebay_policy/balancing/popularity.py
+++ b/packages/snipebay-policy/src/snipebay_policy/balancing/popularity.py
@@ -15,7 +15,7 @@
 __all__ = ["KeyPopularity", "KeySpread"]
 
 # Time constant of the exponential decay of weights, and interval of their update.
-DECAY_S = 15.0
+DECAY_S = 30.0
 REFRESH_S = 1.0
 MIN_WEIGHT = 0.05
 # With more keys than this, a single one has too little weight to matter.
@@ -26,9 +26,12 @@
 # Standard deviations of its weight by which a key counts as less popular than it seems,
 # so that a few requests by chance don't spread an unpopular one.
 CAUTION = 1.0
-# Requests of this instance before a key counts as popular. With fewer, equally popular
-# keys were spread by chance, and 2 of 100 responses more were late in the replay.
-MIN_REQUESTS = 4.0
+# A key is spread if its weight exceeds that which one server may have by this number of
+# standard deviations and one more request. Without such a bound, equally popular keys
+# were spread by chance, and 2 of 100 responses more were late in the replay.
+POPULAR_DEVIATIONS = 3.0
+# Weight of all keys below which none is spread, since nothing is known of the others.
+MIN_TOTAL = 8.0
 # A key is spread over 1, 2, 4, ... servers. Their number changes once the number needed
 # differs from it by this factor, so that noise doesn't change it.
 GROW_FACTOR, SHRINK_FACTOR = 1.5, 0.6
@@ -97,10 +100,13 @@
             servers: Number of servers that could.
         """
         weight = self._weights.get(key, 0.0)
-        if weight < MIN_REQUESTS and key not in self._spreads:
+        fair = self._total * KEY_LOAD_SHARE / servers
+        least = 1.0 + fair + POPULAR_DEVIATIONS * math.sqrt(fair)
+        is_known = self._total >= MIN_TOTAL and weight >= least
+        if not is_known and key not in self._spreads:
             return 1
         cautious = max(0.0, weight - CAUTION * math.sqrt(weight))
-        needed = cautious / self._total * servers / KEY_LOAD_SHARE
+        needed = cautious / fair
         count = self._spreads.get(key, 1)
         while needed > count * GROW_FACTOR and count < MAX_SPREAD:
             count *= 2
