--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -52,7 +52,9 @@
         self.metrics = metrics
         self.run_actions = run_actions
         self.header_names = header_names or HeaderNames()
-        self.pool = UpstreamPool(hub, clock, self, self.header_names)
+        self.pool = UpstreamPool(
+            hub, clock, self, self.header_names, core.forward.on_connected
+        )
         self._active = {}
         self._attempts = {}
         self._responses = {}
@@ -143,7 +145,8 @@
         )
 
     def _probe(self, action):
-        self.pool.probe(action.backend.address, self._on_probe)
+        on_result = self._on_probe if action.tests_reach else _ignore_result
+        self.pool.probe(action.backend.address, on_result)
 
     def _on_probe(self, is_connected):
         self.core.forward.on_probe(is_connected, self.clock())
@@ -310,10 +313,12 @@
             self.run_actions()
 
     def _report_load(self, attempt_id, headers):
-        """Pass the load that a backend server reports in a header to the core."""
-        load = response_headers.parse_load(headers.get(self.header_names.load, b""))
+        """Pass the load and pace that a backend server reports to the core."""
+        value = headers.get(self.header_names.load, b"")
+        load = response_headers.parse_load(value)
         if load is not None:
-            self.core.forward.on_load_report(attempt_id, *load, self.clock())
+            pace = response_headers.parse_pace(value)
+            self.core.forward.on_load_report(attempt_id, *load, self.clock(), pace)
 
     def _report_rate_limit(self, attempt_id, headers):
         """Pass the rate limit that a backend server named, or did not, to the core."""
@@ -384,3 +389,7 @@
             elapsed_s=round(elapsed_s, 3),
             **{"service": request.service, "kind": request.kind, **decision},
         )
+
+
+def _ignore_result(is_connected):
+    """Take the result of a probe whose time alone counts."""
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -54,6 +54,7 @@
 IDLE_BACKEND_SHARE = 1 / 16
 ENTRY_MESSAGES = (
     messages.CreditReply,
+    messages.LoadNews,
     messages.PermitReply,
     messages.PermitRequest,
     messages.RenewReply,
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -4,6 +4,14 @@
 import math
 
 from snipebay_policy.affinity_tiers import AffinityTiers
+from snipebay_policy.balancing.cost import (
+    IN_TIME_SHARE,
+    MIN_SERVICE_S,
+    expected_cost_s,
+    max_load,
+)
+from snipebay_policy.balancing.near_domains import NearDomains
+from snipebay_policy.balancing.popularity import KeyPopularity, KeySpread
 from snipebay_policy.fleet_rows import Choice, FleetCounts, FleetTiming, Member
 from snipebay_policy.member_index import MemberIndex
 from snipebay_policy.service_times import MIN_STALL_S, OTHER, PRIMARY, SECONDARY
@@ -11,23 +19,6 @@
 
 __all__ = ["Fleet"]
 
-# Cost of using another failure domain, in seconds of latency: a small part for the
-# network delay, the rest for bytes between failure domains, which are billed.
-CROSS_DOMAIN_COST_S = 0.05
-# Requests that may wait at a backend server, as a share of its slots.
-MAX_QUEUE_SHARE = 1.0
-# Requests that may always wait, so that no slot is idle for a round trip.
-MIN_QUEUE = 1.0
-MIN_SERVICE_S = 0.001
-# Utilization up to which a backend server gets requests for keys whose data it has not
-# cached. They take several times as long, so at a higher utilization they would cost
-# more throughput than they add.
-OTHER_LOAD_SHARE = 0.25
-# The same for the secondary backend servers of a key.
-SECONDARY_LOAD_SHARE = 0.75
-# Cost of a full backend server over an idle one, in seconds of latency, so that load
-# spreads evenly over otherwise equal ones.
-FULL_LOAD_COST_S = 0.02
 # Entry instances that may use one cold backend server, and the share of its rate that
 # each may use. The sum stays below 1 even when all of them are replaced at once.
 COLD_OWNERS = 3
@@ -47,6 +38,8 @@
         members: :class:`Member` by id.
         affinity: :class:`AffinityTable` by service.
         tiers: Affinity tiers of the members.
+        popularity: :class:`KeyPopularity` by service and region.
+        near_domains: Failure domains that share primaries with this instance's own.
         rate_shares: Share of its full rate that a member may use, by id of those with
             a rate limit.
     """
@@ -66,6 +59,8 @@
         self.affinity = {}
         self.rate_shares = {}
         self.tiers = AffinityTiers(domain)
+        self.near_domains = NearDomains(domain, region)
+        self.popularity = {}
 
     def apply_view(self, view, now_s):
         """Replace the table's contents by a view; known members keep their state."""
@@ -82,6 +77,7 @@
         self._evacuated = frozenset(view.evacuated)
         self._entries = tuple(r.entry_id for r in view.entries if not r.leaving)
         self._ranked_entries.clear()
+        self.near_domains.apply_view(view.backends)
         self._update_index()
 
     def _update_index(self):
@@ -157,6 +153,7 @@
             service: FleetCounts(
                 collections.Counter(self._state(m, now_s) for m in members),
                 self._slots_by_state(members, now_s),
+                sum(m.pace_at(now_s) for m in members) / len(members),
             )
             for service, members in self._by_service.items()
         }
@@ -198,9 +195,13 @@
                 returns True while its rate limit permits no request.
         """
         members = self._responsive(service, region, now_s)
-        tiers = self.tiers.find(service, members, key, key_count) if key else {}
+        tiers = {}
+        if key:
+            near = self.near_domains.near(target_s)
+            spread = self._spread(service, region, key)
+            find = self.tiers.find
+            tiers = find(service, members, key, key_count, near, spread)
         expected_s = [times.expected_s(tier) for tier in (PRIMARY, SECONDARY, OTHER)]
-        queue_s = target_s - expected_s[PRIMARY]
         best, best_cost, best_tier = None, (True, math.inf), PRIMARY
         for member in members:
             row = member.row
@@ -215,19 +216,35 @@
             if member.ejections and member.in_flight:
                 # After an ejection, one request at a time until one succeeds.
                 continue
-            if load >= _max_load(row.slots, tier, queue_s, times.mean_s):
+            pace = member.pace_at(now_s)
+            mean_s = times.mean_s * pace
+            queue_s = target_s - expected_s[PRIMARY] * pace
+            if load >= max_load(row.slots, tier, queue_s, mean_s):
                 continue
             if not self._may_send_cold(member, cold_per_s, now_s):
                 continue
-            queued = max(0.0, load + 1 - row.slots)
-            cost = expected_s[tier] + queued / row.slots * times.mean_s
-            cost += load / row.slots * FULL_LOAD_COST_S
-            cost += CROSS_DOMAIN_COST_S if row.domain != self.domain else 0.0
+            tier_s = expected_s[tier] * pace
+            if key and tier == PRIMARY and tier_s <= target_s * IN_TIME_SHARE:
+                tier_s = expected_s[tier]
+            cost = expected_cost_s(row, load, tier_s, mean_s, self.domain)
             ranked = (row.domain in avoid_domains, cost)
             if ranked < best_cost:
                 best, best_cost, best_tier = member, ranked, tier
         return None if best is None else Choice(best, best_tier)
 
+    def record_key(self, service, region, key, now_s):
+        """Count a request with an affinity key, where backend servers name paces."""
+        if self.near_domains.is_enabled:
+            found = self.popularity.setdefault((service, region), KeyPopularity())
+            found.record(key, now_s)
+
+    def _spread(self, service, region, key):
+        found = self.popularity.get((service, region))
+        if found is None:
+            return None
+        start = int.from_bytes(rendezvous_rank(self.entry_id, key))
+        return KeySpread(found, key, start)
+
     def _responsive(self, service, region, now_s):
         """Return the usable members of a region without the unresponsive ones.
 
@@ -244,6 +261,7 @@
         if not member.in_flight:
             member.unresponsive_from_s = now_s + stall_timeout_s
         member.in_flight += 1
+        member.begun_s.append(now_s)
         if now_s < member.cold_until_s:
             member.next_cold_s = now_s + 1 / (cold_per_s * COLD_RATE_SHARE)
 
@@ -353,21 +371,3 @@
             member.cold_until_s = -math.inf
         member.row = row
         return member
-
-
-def _max_load(slots, tier, queue_s, mean_s):
-    """Return the load below which a backend server may get one more request.
-
-    A request that would wait there for longer than the target latency allows gets
-    a late response, and takes a slot from a request that could still be on time.
-
-    Args:
-        slots: Slots of the backend server.
-        tier: Its affinity tier for the request's key.
-        queue_s: Time that a request to a primary backend server may wait there.
-        mean_s: Mean service time.
-    """
-    if tier != PRIMARY:
-        return slots * (OTHER_LOAD_SHARE if tier == OTHER else SECONDARY_LOAD_SHARE)
-    queue = slots * queue_s / max(mean_s, MIN_SERVICE_S)
-    return slots + min(max(queue, MIN_QUEUE), slots * MAX_QUEUE_SHARE)
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -11,6 +11,7 @@
 from snipebay_model.view import View
 
 from snipebay_policy.action_queue import ActionQueue
+from snipebay_policy.balancing.load_exchange import LoadExchange
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.forward import ForwardSystem
@@ -23,7 +24,7 @@
 from snipebay_policy.routes import RouteTable
 from snipebay_policy.service_tables import ServiceTables
 from snipebay_policy.view_changes import view_changes
-from snipebay_policy.work import Send
+from snipebay_policy.work import Probe, Send
 from snipebay_policy.workspaces.fairness import WorkspaceUse
 from snipebay_policy.workspaces.keys import WorkspaceTable
 from snipebay_policy.workspaces.lease import ConfigLease
@@ -86,6 +87,7 @@
         config_lease: :class:`ConfigLease` on the keys of the workspaces.
         workspace_use: Recent use of this instance by workspace.
         fleet: Backend servers.
+        load_exchange: Reports of backend servers for other instances of the region.
         reach: Whether backend servers are reached from here.
         hop_table: Entry instances to send requests through when they are not.
         rate_limits: Rate limits that backend servers have named.
@@ -103,6 +105,7 @@
         self.config_lease = ConfigLease(cfg.revoke_s)
         self.workspace_use = WorkspaceUse()
         self.fleet = Fleet(cfg.row.entry_id, cfg.row.region, cfg.row.domain)
+        self.load_exchange = LoadExchange(cfg.row.entry_id, cfg.row.region)
         self.rate_limits = RateLimitTable(self.record_event)
         self.reach = ReachMonitor()
         self.hop_table = HopTable(cfg.row)
@@ -166,11 +169,14 @@
             self.forward.queue.permits.on_reply(body, now_s)
         elif isinstance(body, messages.CreditReply):
             self.forward.quota.on_reply(body, now_s)
+        elif isinstance(body, messages.LoadNews):
+            self.load_exchange.receive(body, self.fleet.members, now_s)
 
     def tick(self, now_s):
         """Run the periodic work that is due."""
         self.commands.tick(now_s)
         self.forward.tick(now_s)
+        self._exchange_load(now_s)
         if now_s >= self._next_share_update_s:
             self._next_share_update_s = now_s + self.cfg.share_update_interval_s
             self._sample_needs(now_s)
@@ -359,6 +365,7 @@
         self.view = view
         self.update_budgets()
         self.fleet.apply_view(view, now_s)
+        self.load_exchange.apply_view(view)
         self.hop_table.apply_view(view)
         self.rate_limits.apply_view(view)
         self.forward.queue.permits.apply_view(view)
@@ -368,6 +375,15 @@
             # Operators see from the reports what is in force.
             self._renew(now_s)
 
+    def _exchange_load(self, now_s):
+        """Send the load news and the probe that are due."""
+        found = self.load_exchange.next_message(now_s)
+        if found is not None:
+            self.queue_action(Send(*found))
+        row = self.fleet.near_domains.next_probe(now_s)
+        if row is not None:
+            self.queue_action(Probe(row, tests_reach=False))
+
     def _update_shares(self, now_s):
         services = self.table.services if self.table else ()
         self.fleet.apply_rate_limits(self.rate_limits, self.times, now_s)
