Quotas: unused spare credit goes back to the reserve

An instance with a request every 4 to 15 s may now hold spare credit as well, since what it doesn't use in 9.5 s is returned instead of lost.

--- a/packages/snipebay-control/src/snipebay_control/credit_board.py
+++ b/packages/snipebay-control/src/snipebay_control/credit_board.py
@@ -159,7 +159,9 @@
             return CreditReply(msg.request_id, msg.workspace, count)
         ends_s = now_s + SPARE_S + CLOCK_MARGIN_S
         held = min(max(0, msg.held), MAX_SPARE)
-        limit.count_spare(instance_id, msg.request_id, held, ends_s, now_s)
+        limit.count_spare(
+            instance_id, msg.request_id, held, ends_s, now_s, max(0, msg.returned)
+        )
         limit.advance(self._settled_s, now_s)
         granted = min(count, int(limit.credit))
         if granted:
--- a/packages/snipebay-control/src/snipebay_control/credit_limit.py
+++ b/packages/snipebay-control/src/snipebay_control/credit_limit.py
@@ -206,15 +206,20 @@
         self.burst += burst - holder.burst
         holder.per_s, holder.burst = per_s, burst
 
-    def count_spare(self, instance_id, request_id, held, ends_s, now_s):
+    def count_spare(self, instance_id, request_id, held, ends_s, now_s, returned=0):
         """Count the spare credits that an instance holds, and those it has used.
 
+        Credits that it returns unused go back to the reserve.
+
         A message that was overtaken by a later one changes nothing.
         """
         known = self.spares.get(instance_id)
         if known is not None and request_id < known.request_id:
             return
-        used = max(0, known.count - held) if known is not None else 0
+        gone = max(0, known.count - held) if known is not None else 0
+        returned = min(returned, gone)
+        used = gone - returned
+        self.credit += returned
         if used:
             self.in_flight.append((now_s + IN_FLIGHT_S, used))
             self.granted += used
--- a/packages/snipebay-model/src/snipebay_model/credits.py
+++ b/packages/snipebay-model/src/snipebay_model/credits.py
@@ -51,6 +51,7 @@
         count: Requests that wait for credit.
         spare: Further credits that the sender would keep for its next requests.
         held: Spare credits of earlier replies that it still holds.
+        returned: Spare credits that it gives back unused, no longer among ``held``.
     """
 
     request_id: int
@@ -58,6 +59,7 @@
     count: int
     spare: int = 0
     held: int = 0
+    returned: int = 0
 
 
 @attrs.frozen
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/credit_bucket.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/credit_bucket.py
@@ -56,9 +56,8 @@
         if self.credit >= self.burst - self.pending:
             self.credit = max(0.0, self.burst - self.pending)
             self.full_s = now_s
-        for ends in (self.returned, self.spare):
-            while ends and ends[0] <= now_s:
-                ends.popleft()
+        while self.returned and self.returned[0] <= now_s:
+            self.returned.popleft()
 
     def set_part(self, part, ends_s, now_s):
         """Replace the part; earned credit is kept up to the new burst."""
@@ -88,9 +87,10 @@
         if self.returned:
             return self.returned.popleft()
         if self.credit < 1.0:
-            if not self.spare:
+            if not self.spare or self.spare[0] <= now_s:
                 return None
-            self.spare.popleft()
+            # The newest one, so that older ones can be returned.
+            self.spare.pop()
             return now_s + GRANT_S
         self.credit -= 1.0
         self.pending += 1
@@ -117,6 +117,14 @@
             self.credit = min(self.credit + 1.0, self.burst - self.pending)
             self.credit = max(0.0, self.credit)
 
+    def pop_expired_spare(self, now_s):
+        """Drop the spare credits that have expired and return their number."""
+        count = 0
+        while self.spare and self.spare[0] <= now_s:
+            self.spare.popleft()
+            count += 1
+        return count
+
     def due_in_s(self, now_s):
         """Return the time until the part yields a credit, infinity without a part."""
         self.update(now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
@@ -22,8 +22,9 @@
 
 # Validity of a part from the sending of the report that it answers.
 PART_S = 4.0
-# Validity of a spare credit from the request for it. The leader counts it for longer.
-SPARE_S = 10.0
+# Validity of a spare credit from the request for it. The leader counts it for 10 s, so
+# that it can be returned in time.
+SPARE_S = 9.5
 # After a reply without spare credit, none is asked for during this time.
 SPARE_PAUSE_S = 1.0
 # A leader without a reply for this long is taken to be lost. Requests that need credit
@@ -220,10 +221,14 @@
         if not (count or spare):
             return
         account.ask_id, account.asked_s = next(self._ask_ids), now_s
-        if self.ctx.commands.leader:
-            held = len(account.bucket.spare)
-            msg = CreditRequest(account.ask_id, account.name, count, spare, held)
-            self.ctx.queue_action(Send(self.ctx.commands.leader, msg))
+        returned = account.bucket.pop_expired_spare(now_s)
+        self._send_request(account, account.ask_id, count, spare, returned)
+
+    def _send_request(self, account, ask_id, count, spare, returned):
+        leader, held = self.ctx.commands.leader, len(account.bucket.spare)
+        if leader:
+            msg = CreditRequest(ask_id, account.name, count, spare, held, returned)
+            self.ctx.queue_action(Send(leader, msg))
 
     def on_reply(self, msg, now_s):
         """Admit parked requests by the reply of the leader, deny the others.
@@ -362,6 +367,9 @@
                 if account.ask_id != CLOSED:
                     self._silent_from_s = min(self._silent_from_s, account.asked_s)
                 account.ask_id = 0
+            if not account.ask_id and (n := account.bucket.pop_expired_spare(now_s)):
+                # Its reply has an id that is not waited for.
+                self._send_request(account, next(self._ask_ids), 0, 0, n)
             if account.parked:
                 self._admit_parked(account, now_s)
                 self._end_waits(account, now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/quota_account.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/quota_account.py
@@ -23,10 +23,10 @@
 # interval of its work.
 SPARE_TIME_S = 0.3
 MAX_SPARE = 4
-# With a longer gap, a spare credit is likely to expire unused, which is lost for all.
-MAX_SPARE_GAP_S = 4.0
+# With a longer gap, a spare credit is likely to be returned unused.
+MAX_SPARE_GAP_S = 15.0
 # Longest gap between requests that counts, and the weight of the newest one.
-MAX_GAP_S, GAP_WEIGHT = 10.0, 0.3
+MAX_GAP_S, GAP_WEIGHT = 20.0, 0.3
 
 
 @attrs.define
