--- a/packages/snipebay-node/src/snipebay_node/upstream.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream.py
@@ -33,13 +33,15 @@
             headers)`` and ``on_failure(attempt_id, reason)``. Headers are pairs of
             name and value, as bytes.
         header_names: Names of the headers exchanged with backend servers.
+        on_connected: Function of address and seconds, called for new connections.
     """
 
-    def __init__(self, hub, clock, listener, header_names=None):
+    def __init__(self, hub, clock, listener, header_names=None, on_connected=None):
         self.header_names = header_names or HeaderNames()
         self.hub = hub
         self.clock = clock
         self.listener = listener
+        self.on_connected = on_connected or (lambda address, elapsed_s: None)
         self._idle = {}
         self._active = {}
         self._probes = []
--- a/packages/snipebay-node/src/snipebay_node/upstream_connection.py
+++ b/packages/snipebay-node/src/snipebay_node/upstream_connection.py
@@ -83,7 +83,7 @@
         self._reset_response()
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
-        stream.on_connected = self._write_request
+        stream.on_connected = self._on_connected
         stream.on_drained = self._write_blocks
 
     def start(self, req):
@@ -118,6 +118,10 @@
         self._fail(f"no connection within {CONNECT_TIMEOUT_S} s")
         self.stream.abort()
 
+    def _on_connected(self):
+        self.pool.on_connected(self.address, self.pool.clock() - self.last_used_s)
+        self._write_request()
+
     def _write_request(self):
         req = self.req
         if req is None:
