Load of the demo: responses have their headers by name

The client passed on pairs where callers look headers up by name, so each response other than 200 raised an error, and its request stayed open (test_demo, seen on the code as found and on the present one while the machine was loaded).

--- a/packages/snipebay-testbed/src/snipebay_testbed/http_client.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/http_client.py
@@ -104,7 +104,7 @@
 
     def on_end(self, call_id, status, headers, body):
         body_size = self._body_sizes.get(call_id, 0)
-        self._finish(call_id, Response(status, headers, body, body_size))
+        self._finish(call_id, Response(status, dict(headers), body, body_size))
 
     def on_not_run(self, call_id, status, headers):
         self._finish(call_id, Response(503, {b"snipebay-shed": b"1"}))
