--- a/packages/snipebay-policy/tests/test_pace.py
+++ b/packages/snipebay-policy/tests/test_pace.py
@@ -4,11 +4,12 @@
 import unittest
 
 import attrs
-from snipebay_model.view import BackendRow, View
+from snipebay_model.load_news import LoadNews, LoadRow
+from snipebay_model.view import BackendRow, EntryRow, View
 from snipebay_policy.balancing.near_domains import MIN_SAMPLES
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.service_times import PRIMARY, ServiceTimes
-from snipebay_policy.work import Probe
+from snipebay_policy.work import Probe, Send
 from snipebay_testbed.forward_case import ForwardCase
 
 KEYS = [f"k{n}" for n in range(60)]
@@ -108,6 +109,21 @@
         self.core.forward.on_response(dispatch.attempt_id, 200, 0.6)
         self.assertAlmostEqual(self.core.times("s").by_tier[PRIMARY], 0.2)
 
+    def test_news_are_taken_over_and_sent_to_the_region(self):
+        peer = EntryRow("e1", "x", "10.0.0.2:80", "e1", "a", "a-1")
+        entries = (*self.core.view.entries, peer)
+        self.core.load_exchange.apply_view(
+            attrs.evolve(self.core.view, entries=entries)
+        )
+        news = LoadNews((LoadRow("i0", self.core.view.backends[0].born_ms, 1, 300, 5),))
+        self.core.receive("e1", news, 0.0)
+        self.assertEqual(self.core.fleet.members["i0"].pace, 3.0)
+        self.assertEqual(self.send().backend.backend_id, "i1")
+        self.core.tick(0.2)
+        sent = [a for a in self.core.pop_actions() if isinstance(a, Send)]
+        (message,) = (a for a in sent if isinstance(a.body, LoadNews))
+        self.assertEqual(message.target, "e1")
+
     def test_probes_to_measure_start_with_the_first_pace_and_end(self):
         rows = tuple(attrs.evolve(r, domain="a-2") for r in self.core.view.backends[1:])
         view = attrs.evolve(
