--- a/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_reasons.py
@@ -25,6 +25,7 @@
         limit: :class:`RateLimit` of the backend server, or None.
     """
     member = choice.member
+    pace = round(member.pace_at(now_s), 2)
     return {
         **_request_fields(row, revision),
         "target_s": row.route.target_latency_s,
@@ -35,6 +36,7 @@
         "place": choice.tier,
         "attempt": row.attempt_count,
         "waited_s": round(now_s - row.arrived_s, 3),
+        **({"pace": pace} if pace != 1.0 else {}),
         **({"rate_limit": round(limit.rate_per_s(now_s), 3)} if limit else {}),
     }
 
