Waiting requests: those that can be in time go first

Callers that were refused return late while a burst goes on, take slots from requests that can still be in time, and are refused once more after the eighth of the target although they do not return again.

Requests that can't meet their deadline are rejected at once as no_time.

--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -1,5 +1,6 @@
 """Requests that wait for a backend server, in the order in which they are served."""
 
+import collections
 import itertools
 
 from snipebay_policy.fleet_rows import Choice
@@ -9,6 +10,15 @@
 from snipebay_policy.refusals import QueueState, refusal
 from snipebay_policy.retry_delay import RetryDelays
 from snipebay_policy.service_times import PRIMARY
+from snipebay_policy.waiting.reserve import has_room, is_late
+from snipebay_policy.waiting.rows import WaitingRow
+from snipebay_policy.waiting.service_order import PassedOver, decide
+from snipebay_policy.waiting.usual_timeouts import UsualTimeouts
+from snipebay_policy.waiting.wait_end import (
+    can_meet_deadline,
+    may_return,
+    wait_ends_s,
+)
 from snipebay_policy.work import Dispatch
 
 __all__ = ["DispatchQueue"]
@@ -40,6 +50,8 @@
         self.rows_by_attempt = {}
         self.permits = PermitSystem(ctx, self._on_permit)
         self.retry_delays = RetryDelays(rules.retry_after_s, ctx.row.entry_id)
+        self._passed_over = collections.defaultdict(PassedOver)
+        self._usual_timeouts = UsualTimeouts()
         self._fail_request = fail_request
         self._attempt_ids = itertools.count(1)
 
@@ -50,6 +62,7 @@
 
     def add(self, row):
         """Add a request, without dispatching it."""
+        self._usual_timeouts.record(row.route, row.deadline_s - row.arrived_s)
         self.waiting.setdefault(row.service, {})[row.request_id] = row
 
     def remove(self, row):
@@ -67,18 +80,75 @@
         waiting = self.waiting.get(service)
         if not waiting:
             return
-        for row in sorted(waiting.values(), key=_queue_order):
-            if row.needs_permit or self.try_dispatch(row, now_s):
+        found = [
+            self._waiting_row(row, now_s)
+            for row in waiting.values()
+            if not row.needs_permit
+        ]
+        passed_over = self._passed_over[service]
+        decision = decide(found, passed_over, now_s)
+        for state in decision.rejected:
+            self._refuse(waiting[state.request_id], state, now_s)
+        open_rows = {state.request_id: state.group for state in decision.order}
+        for state in decision.order:
+            row = waiting.get(state.request_id)
+            if row is None:
                 continue
-            found = refusal(self._queue_state(row, now_s), now_s)
-            if found is not None:
-                after_s = found.due_in_s and max(
-                    found.due_in_s, self.rules.retry_after_s
-                )
-                self._fail_request(row, 503, found.reason, found.detail, now_s, after_s)
-
-    def try_dispatch(self, row, now_s):
-        """Return True when a request was dispatched or waits for its permit."""
+            late_until_s = None
+            if is_late(state, now_s):
+                late_until_s = self._ends_s(row, state, now_s)
+            if self.try_dispatch(row, now_s, late_until_s):
+                del open_rows[state.request_id]
+                passed_over.record(state.group, open_rows.values())
+            else:
+                self._refuse(row, state, now_s)
+
+    def _refuse(self, row, state, now_s):
+        """Refuse a request that is not dispatched, unless it keeps waiting.
+
+        Args:
+            row: The request.
+            state: The same as a :class:`WaitingRow`.
+            now_s: Time.
+        """
+        found = refusal(self._queue_state(row, state, now_s), now_s)
+        if found is None:
+            return
+        if found.due_in_s is None:
+            left_s = row.deadline_s - now_s
+            after_s = self.retry_delays.refused_s(
+                row.service, now_s, left_s, may_return=may_return(state, now_s)
+            )
+        else:
+            after_s = max(found.due_in_s, self.rules.retry_after_s)
+        self._fail_request(row, 503, found.reason, found.detail, now_s, after_s)
+
+    def _waiting_row(self, row, now_s):
+        """Return the :class:`WaitingRow` of a request."""
+        route, workspace = row.route, row.workspace
+        name = workspace.name if workspace is not None else ""
+        uses = getattr(self.ctx, "workspace_use", None) if name else None
+        return WaitingRow(
+            row.request_id,
+            (route.name, name),
+            row.priority,
+            uses.recent(name, now_s) if uses is not None else 0.0,
+            row.arrived_s,
+            row.waiting_since_s,
+            route.target_latency_s,
+            row.deadline_s,
+            self._usual_timeouts.usual_s(route),
+            self.ctx.times(row.service).expected_s(PRIMARY),
+        )
+
+    def try_dispatch(self, row, now_s, late_until_s=None):
+        """Return True when a request was dispatched or waits for its permit.
+
+        Args:
+            row: The request.
+            now_s: Time.
+            late_until_s: When the wait of a late request ends, None for any other.
+        """
         if now_s >= row.deadline_s:
             return False
         service = self.ctx.service(row.service)
@@ -88,6 +158,10 @@
         ):
             return self.try_hop(row, now_s)
         for region in self._regions(row):
+            if late_until_s is not None:
+                load, slots = self._load(row.service, region, now_s)
+                if not has_room(load, slots, late_until_s, now_s):
+                    continue
             choice = self.ctx.fleet.choose(
                 row.service,
                 region,
@@ -108,13 +182,19 @@
                 return False
             permission = self.permits.acquire(row, choice, now_s)
             if permission is Permission.DENIED:
-                return self.try_dispatch(row, now_s)
+                return self.try_dispatch(row, now_s, late_until_s)
             row.needs_permit = permission is Permission.PENDING
             if permission is Permission.GRANTED:
                 self._dispatch(row, choice, now_s)
             return True
         return False
 
+    def _load(self, service, region, now_s):
+        """Return the load and the slots of a region's usable backend servers."""
+        usable = self.ctx.fleet.usable(service, now_s)
+        members = [m for m in usable if m.row.region == region]
+        return sum(m.load(now_s) for m in members), sum(m.row.slots for m in members)
+
     def may_retry(self, row):
         """Return True unless a request needs another hop and may take none."""
         return not self.ctx.reach.is_isolated or row.hop_count < MAX_HOPS
@@ -142,17 +222,21 @@
         else:
             self.dispatch_waiting(row.service, now_s)
 
-    def _queue_state(self, row, now_s):
+    def _queue_state(self, row, state, now_s):
         """Return the :class:`QueueState` of a waiting request."""
-        wait_s = row.route.target_latency_s * self.rules.queue_wait_share
-        last_s = row.deadline_s - self.rules.min_attempt_s
         return QueueState(
             has_backends=bool(self.ctx.fleet.usable(row.service, now_s)),
             is_isolated=self.ctx.reach.is_isolated,
-            ends_s=min(row.waiting_since_s + wait_s, last_s),
+            ends_s=self._ends_s(row, state, now_s),
             permit_due_s=self._permit_due_s(row, now_s),
+            has_time=can_meet_deadline(state, row.waiting_since_s),
         )
 
+    def _ends_s(self, row, state, now_s):
+        """Return when the wait of a request for a slot ends."""
+        wait_s = row.route.target_latency_s * self.rules.queue_wait_share
+        return wait_ends_s(state, wait_s, self.rules.min_attempt_s, now_s)
+
     def _permit_due_s(self, row, now_s):
         """Return when any backend server of the request's region may take it.
 
@@ -228,8 +312,3 @@
                 row.workspace.name if row.workspace is not None else "",
             )
         )
-
-
-def _queue_order(row):
-    """Return the sort key of a waiting request: priority, then arrival."""
-    return row.priority, row.arrived_s, row.request_id
--- a/packages/snipebay-policy/src/snipebay_policy/refusals.py
+++ b/packages/snipebay-policy/src/snipebay_policy/refusals.py
@@ -20,12 +20,14 @@
         ends_s: When its wait for a slot ends.
         permit_due_s: When the first rate limit permits it, or None if a backend
             server without a limit, or below its limit, may take it.
+        has_time: False if its deadline was too close already when its wait began.
     """
 
     has_backends: bool
     is_isolated: bool
     ends_s: float
     permit_due_s: float | None
+    has_time: bool = True
 
 
 @attrs.frozen
@@ -55,6 +57,8 @@
         return Refusal("unreachable", detail)
     if not state.has_backends:
         return Refusal("no_backend", "no backend server of the service is in use")
+    if not state.has_time:
+        return Refusal("no_time", "no backend server can respond before the deadline")
     due_s = state.permit_due_s
     if due_s is not None and due_s > max(state.ends_s, now_s):
         detail = "all backend servers are at their rate limits"
--- /dev/null
+++ b/packages/snipebay-policy/src/snipebay_policy/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests that wait for a slot; each module names its load pattern."""
