--- a/packages/snipebay-testbed/src/snipebay_testbed/waiting_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/waiting_study.py
@@ -6,6 +6,7 @@
 of refused requests return once, some of them at once and more often.
 """
 
+import bisect
 import collections
 import heapq
 import itertools
@@ -13,13 +14,14 @@
 
 import attrs
 import numpy as np
-from snipebay_policy.retry_delay import MAX_DELAY_S, RetryDelays
 from snipebay_policy.waiting.reserve import has_room, is_late
 from snipebay_policy.waiting.rows import WaitingRow
-from snipebay_policy.waiting.service_order import PassedOver, decide
-from snipebay_policy.waiting.wait_end import fastest_s, may_return, wait_ends_s
+from snipebay_policy.waiting.service_order import PassedOver
+from snipebay_policy.waiting.wait_end import may_return
 
-__all__ = ["CASES", "SIZES", "WAYS", "Replay", "Result", "Way", "mean_result"]
+from snipebay_testbed.waiting_ways import WAYS, ReciprocalDelays
+
+__all__ = ["CASES", "SIZES", "Replay", "Result", "mean_result"]
 
 SIZES = (12, 70, 133, 440)
 # Demand as a multiple of capacity; "rejecting" servers reject all at 0.9.
@@ -31,11 +33,14 @@
     (152, 0.324, 0.300, 1.5),
     (152, 0.184, 0.250, 1.0),
 )
+RATES = [kind[0] for kind in KINDS]
+KIND_SHARES = [share / sum(RATES) for share in itertools.accumulate(RATES)]
 MEAN_S = sum(k[0] * k[1] for k in KINDS) / sum(k[0] for k in KINDS)
 PER_INSTANCE_S = 4.0
 CALM, CALM_S, BURST_S, TAIL_S = 0.7, 1.0, 4.0, 1.0
 # Shares of the slots and of the callers of each region.
 SLOT_SHARES, CALLER_SHARES = (0.5, 0.4, 0.1), (0.33, 0.34, 0.33)
+SLOT_BOUNDS = (0.5, 0.9)
 SWING, SWING_S = 0.55, 36.0
 LATENCY_S, REGION_S = 0.006, 0.07
 WAIT_SHARE, MIN_ATTEMPT_S, MIN_DELAY_S = 0.125, 0.05, 0.4
@@ -70,82 +75,6 @@
         return self.born_s + KINDS[self.kind][3]
 
 
-class ReciprocalDelays(RetryDelays):
-    """Delays by the reciprocal of the served share alone, the earlier rule."""
-
-    def refused_s(self, service, now_s, left_s=math.inf, *, may_return=True):
-        meter = self._meter(service)
-        meter.record(True, now_s)
-        expected_s = self._min_delay_s / (1.0 - meter.refused_share)
-        return self._spread(min(MAX_DELAY_S, expected_s))
-
-
-def by_arrival(rows, passed_over, now_s):
-    return sorted(rows, key=lambda r: (r.priority, r.arrived_s))
-
-
-def latest_first(rows, passed_over, now_s):
-    newest = len(rows) > 2
-    return sorted(rows, key=lambda r: (r.priority, -r.arrived_s if newest else 0.0))
-
-
-def least_work(rows, passed_over, now_s):
-    return sorted(rows, key=lambda r: (r.priority, r.expected_s, r.arrived_s))
-
-
-def by_target(rows, passed_over, now_s):
-    return decide(rows, passed_over, now_s).order
-
-
-def eighth_ends_s(row, wait_s, min_attempt_s, now_s):
-    return min(row.waiting_since_s + wait_s, row.deadline_s - min_attempt_s)
-
-
-def target_ends_s(row, wait_s, min_attempt_s, now_s):
-    """Wait while the target can be met, and to the end if that is past."""
-    last_s = row.deadline_s - max(min_attempt_s, fastest_s(row))
-    return min(max(row.waiting_since_s + wait_s, row.target_s - fastest_s(row)), last_s)
-
-
-def last_ends_s(row, wait_s, min_attempt_s, now_s):
-    return row.deadline_s - max(min_attempt_s, fastest_s(row))
-
-
-@attrs.frozen
-class Way:
-    """Rules of the instances.
-
-    Attributes:
-        order: Order of the waiting requests.
-        ends_s: End of the wait for a slot.
-        delays: Delays of refused callers.
-        has_reserve: True if late requests leave slots free.
-    """
-
-    order: object
-    ends_s: object
-    delays: object
-    has_reserve: bool = False
-
-
-OLD = ReciprocalDelays
-WAYS = {
-    "arrival order (earlier)": Way(by_arrival, eighth_ends_s, OLD),
-    "latest first": Way(latest_first, eighth_ends_s, OLD),
-    "least work left": Way(least_work, eighth_ends_s, OLD),
-    "feasible target": Way(by_target, eighth_ends_s, OLD),
-    "and wait to target": Way(by_target, target_ends_s, OLD),
-    "and wait to deadline": Way(by_target, last_ends_s, OLD),
-    "and last tries wait": Way(by_target, wait_ends_s, OLD),
-    "and reserve": Way(by_target, eighth_ends_s, OLD, True),
-    "reserve, last tries wait": Way(by_target, wait_ends_s, OLD, True),
-    "arrival, reserve, last": Way(by_arrival, wait_ends_s, OLD, True),
-    "arrival, new delays": Way(by_arrival, eighth_ends_s, RetryDelays),
-    "kept": Way(by_target, wait_ends_s, RetryDelays, True),
-    "ideal queue": None,
-}
-
-
 @attrs.frozen
 class Result:
     """Shares of the requests; ``worst_*`` are shares in time."""
@@ -229,9 +158,8 @@
         self.now_s += self.work_rng.exponential(1 / self._demand(region))
         if self.now_s > CALM_S + BURST_S + TAIL_S:
             return
-        rates = [kind[0] for kind in KINDS]
         pick = self.work_rng.random(5)
-        kind = int(np.searchsorted(np.cumsum(rates) / sum(rates), pick[0]))
+        kind = bisect.bisect_left(KIND_SHARES, pick[0])
         factor = HIT_FACTOR if pick[1] < HIT_SHARE else 1.0
         work_s = KINDS[kind][1] * factor * (0.5 - 0.5 * math.log(1 - pick[2]))
         domain = 2 * region + int(pick[3] < 0.5)
@@ -320,7 +248,7 @@
 
     def _try(self, call):
         """Return True when a request was sent to the servers of a region."""
-        region = int(np.searchsorted((0.5, 0.9), self.rng.random()))
+        region = bisect.bisect_left(SLOT_BOUNDS, self.rng.random())
         pool = self.pools[region]
         load, now_s = pool.running + len(pool.queue), self.now_s
         has = load < pool.slots * (1 + SERVER_QUEUE)
--- a/packages/snipebay-testbed/tests/test_waiting_at_scale.py
+++ b/packages/snipebay-testbed/tests/test_waiting_at_scale.py
@@ -6,7 +6,8 @@
 
 import unittest
 
-from snipebay_testbed.waiting_study import CASES, SIZES, WAYS, mean_result
+from snipebay_testbed.waiting_study import CASES, SIZES, mean_result
+from snipebay_testbed.waiting_ways import WAYS
 
 # Seeds by size; the fewer instances, the more they differ.
 SEEDS = {12: 8, 70: 3, 133: 2, 440: 1}
