--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -10,7 +10,7 @@
 from snipebay_policy.retry_delay import RetryDelays
 from snipebay_policy.service_times import PRIMARY
 from snipebay_policy.waiting.reserve import has_room
-from snipebay_policy.waiting.wait_end import can_meet_deadline, may_return
+from snipebay_policy.waiting.wait_end import can_meet_deadline, is_return_in_vain
 from snipebay_policy.waiting.waiting_table import WaitingTable
 from snipebay_policy.work import Dispatch
 
@@ -106,13 +106,12 @@
         found = refusal(self._queue_state(row, state, now_s), now_s)
         if found is None:
             return
-        if found.due_in_s is None:
-            left_s = row.deadline_s - now_s
-            after_s = self.retry_delays.refused_s(
-                row.service, now_s, left_s, may_return=may_return(state, now_s)
-            )
-        else:
+        if found.due_in_s is not None:
             after_s = max(found.due_in_s, self.rules.retry_after_s)
+        elif is_return_in_vain(state, now_s):
+            after_s = round(row.deadline_s - now_s, 3)
+        else:
+            after_s = self.retry_delays.refused_s(row.service, now_s)
         self._fail_request(row, 503, found.reason, found.detail, now_s, after_s)
 
     def try_dispatch(self, row, now_s, late_until_s=None):
--- a/packages/snipebay-policy/src/snipebay_policy/retry_delay.py
+++ b/packages/snipebay-policy/src/snipebay_policy/retry_delay.py
@@ -6,7 +6,6 @@
 """
 
 import hashlib
-import heapq
 import math
 
 import attrs
@@ -19,13 +18,6 @@
 PRIOR_SERVED = 1.0
 # Longest delay before the spread; bursts and cold caches seldom last longer.
 MAX_DELAY_S = 3.0
-# Share of the slots becoming free that callers who return get; most go to new requests.
-# In the replay fewer callers are refused twice with 0.25 than with 0.5 or 1.
-RETURN_SHARE = 0.25
-# Callers who return and are served in the shortest delay, at least.
-MIN_RETURNS = 0.5
-# Share of the remaining time after which callers return at the latest.
-HONOURED_SHARE = 1 / 3
 # Delays are spread from this part of the expected time to as much beyond it.
 SPREAD = 0.35
 # Time from the start of an instance to its first traffic plan, if control runs.
@@ -36,19 +28,11 @@
 
 @attrs.define
 class _RefusalMeter:
-    """Decaying counts of the served and refused requests of a service.
-
-    Attributes:
-        served: Requests that got a slot.
-        refused: Requests that were refused.
-        updated_s: Time of the last update.
-        returns_s: Heap of the times at which refused callers are expected back.
-    """
+    """Decaying counts of the served and refused requests of a service."""
 
     served: float = 0.0
     refused: float = 0.0
     updated_s: float = 0.0
-    returns_s: list = attrs.Factory(list)
 
     def record(self, is_refused, now_s):
         factor = math.exp(-max(0.0, now_s - self.updated_s) / METER_WINDOW_S)
@@ -60,18 +44,6 @@
     def refused_share(self):
         return self.refused / (self.served + self.refused + PRIOR_SERVED)
 
-    def backlog_s(self, now_s, min_per_s):
-        """Return the time until the callers expected back have been served.
-
-        Args:
-            now_s: Time.
-            min_per_s: Rate at which they are served at least.
-        """
-        while self.returns_s and self.returns_s[0] <= now_s:
-            heapq.heappop(self.returns_s)
-        per_s = self.served / METER_WINDOW_S * RETURN_SHARE
-        return len(self.returns_s) / max(per_s, min_per_s)
-
 
 class RetryDelays:
     """Delays for the callers of one instance.
@@ -96,28 +68,12 @@
         """Count a request that was sent to a backend server."""
         self._meter(service).record(False, now_s)
 
-    def refused_s(self, service, now_s, left_s=math.inf, *, may_return=True):
-        """Count a refused request and return the delay for its caller.
-
-        Args:
-            service: Its service.
-            now_s: Time.
-            left_s: Time until the deadline of the caller.
-            may_return: False for a caller that could not be served in that time, which
-                is told to stay away for all of it.
-        """
+    def refused_s(self, service, now_s):
+        """Count a refused request and return the delay for its caller."""
         meter = self._meter(service)
         meter.record(True, now_s)
         expected_s = self._min_delay_s / (1.0 - meter.refused_share)
-        # An instance that has served few requests knows little of the capacity.
-        backlog_s = meter.backlog_s(now_s, MIN_RETURNS / self._min_delay_s)
-        expected_s = min(MAX_DELAY_S, max(expected_s, backlog_s))
-        delay_s = self._spread(expected_s)
-        if not may_return:
-            return max(delay_s, round(left_s, 3))
-        returns_s = now_s + min(delay_s, left_s * HONOURED_SHARE)
-        heapq.heappush(meter.returns_s, returns_s)
-        return delay_s
+        return self._spread(min(MAX_DELAY_S, expected_s))
 
     def startup_s(self):
         """Return the delay for a caller that came before the first traffic plan."""
--- a/packages/snipebay-policy/src/snipebay_policy/waiting/wait_end.py
+++ b/packages/snipebay-policy/src/snipebay_policy/waiting/wait_end.py
@@ -10,6 +10,7 @@
     "can_meet_deadline",
     "can_meet_target",
     "fastest_s",
+    "is_return_in_vain",
     "may_return",
     "wait_ends_s",
 ]
@@ -48,10 +49,14 @@
     return now_s + fastest_s(row) <= row.deadline_s
 
 
+def is_return_in_vain(row, now_s):
+    """Return True if a caller that comes back could not be served by its deadline."""
+    return (row.deadline_s - now_s) * (1.0 - HONOURED_SHARE) < fastest_s(row)
+
+
 def may_return(row, now_s):
     """Return True if the caller, once refused, may come back and still be served."""
-    left_s = (row.deadline_s - now_s) * (1.0 - HONOURED_SHARE)
-    return row.is_first_try and left_s >= fastest_s(row)
+    return row.is_first_try and not is_return_in_vain(row, now_s)
 
 
 def wait_ends_s(row, wait_s, min_attempt_s, now_s):
--- a/packages/snipebay-policy/tests/test_waiting.py
+++ b/packages/snipebay-policy/tests/test_waiting.py
@@ -5,7 +5,6 @@
 import attrs
 from snipebay_model.plan import Plan, RoutedService
 from snipebay_model.view import ViewDelta
-from snipebay_policy.retry_delay import RetryDelays
 from snipebay_policy.waiting.reserve import has_room, is_late
 from snipebay_policy.waiting.rows import WaitingRow
 from snipebay_policy.waiting.service_order import (
@@ -134,26 +133,6 @@
         self.assertFalse(is_late(attrs.evolve(LAST, latency_s=0.05), 0.0))
 
 
-class TestReturns(unittest.TestCase):
-    def test_later_callers_are_told_to_return_later_when_few_slots_become_free(self):
-        delays = RetryDelays(0.4, "e0")
-        for _ in range(20):
-            delays.record_served("s", 0.0)
-        found = [delays.refused_s("s", 0.0, 9.0) for _ in range(20)]
-        self.assertGreater(min(found[10:]), max(found[:2]))
-
-    def test_caller_that_could_not_be_served_is_told_all_of_its_time(self):
-        found = RetryDelays(0.4, "e0").refused_s("s", 0.0, 5.0, may_return=False)
-        self.assertEqual(found, 5.0)
-
-    def test_callers_that_have_returned_no_longer_count(self):
-        delays = RetryDelays(0.4, "e0")
-        for _ in range(50):
-            delays.refused_s("s", 0.0, 1.0)
-        self.assertGreater(delays.refused_s("s", 0.1, 1.0), 1.5)
-        self.assertLess(delays.refused_s("s", 30.0, 1.0), 1.1)
-
-
 class TestQueue(ForwardCase):
     backends = 1
 
@@ -178,6 +157,11 @@
         self.assertEqual((problem.status, problem.reason), (503, "no_time"))
         self.assertEqual(problem.outcome, "not-run")
 
+    def test_caller_that_would_return_in_vain_is_told_all_of_its_time(self):
+        self.send(1)
+        (problem,) = self.arrive(2, timeout_s=0.06)
+        self.assertEqual(problem.retry_after_s, 0.06)
+
     def test_last_try_is_served_by_a_slot_that_becomes_free_later(self):
         first, _ = self.fill()
         self.arrive(3, timeout_s=1.2)
--- a/packages/snipebay-testbed/src/snipebay_testbed/waiting_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/waiting_study.py
@@ -17,9 +17,8 @@
 from snipebay_policy.waiting.reserve import has_room, is_late
 from snipebay_policy.waiting.rows import WaitingRow
 from snipebay_policy.waiting.service_order import PassedOver
-from snipebay_policy.waiting.wait_end import may_return
 
-from snipebay_testbed.waiting_ways import WAYS, ReciprocalDelays
+from snipebay_testbed.waiting_ways import WAYS, Delays
 
 __all__ = ["CASES", "SIZES", "Replay", "Result", "mean_result"]
 
@@ -123,7 +122,7 @@
         self.rng = np.random.default_rng(seed)
         self.work_rng = np.random.default_rng([seed, 1])
         self.now_s, self._heap, self._order = 0.0, [], itertools.count()
-        make = way.delays if way else ReciprocalDelays
+        make = way.delays if way else Delays
         self.entries = [Entry(make(MIN_DELAY_S, f"e{n}")) for n in range(size)]
         self.expected_s = MEAN_S * (1 - HIT_SHARE * (1 - HIT_FACTOR))
         self.rate = PER_INSTANCE_S * size
@@ -171,9 +170,7 @@
     def _refuse(self, call, after_s=None):
         left_s = call.deadline_s - self.now_s
         if after_s is None:
-            may = may_return(call.row, self.now_s)
-            delays = call.entry.delays
-            after_s = delays.refused_s("s", self.now_s, left_s, may_return=may)
+            after_s = call.entry.delays.after_s(self.now_s, left_s)
         call.tries += 1
         if call.tries >= (IMPATIENT_TRIES if call.is_impatient else 2) or left_s <= 0:
             self.twice += call.tries > 1
--- a/packages/snipebay-testbed/src/snipebay_testbed/waiting_ways.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/waiting_ways.py
@@ -1,23 +1,37 @@
 """Ways to order waiting requests that :mod:`waiting_study` compares."""
 
-import math
-
 import attrs
-from snipebay_policy.retry_delay import MAX_DELAY_S, RetryDelays
+from snipebay_policy.retry_delay import MAX_DELAY_S, METER_WINDOW_S, RetryDelays
 from snipebay_policy.waiting.service_order import decide
 from snipebay_policy.waiting.wait_end import fastest_s, wait_ends_s
 
-__all__ = ["WAYS", "ReciprocalDelays", "Way"]
+__all__ = ["WAYS", "Delays", "Way"]
+
+
+class Delays(RetryDelays):
+    """The product's delays, which don't depend on the time left."""
+
+    def after_s(self, now_s, left_s):
+        return self.refused_s("s", now_s)
+
 
+class BacklogDelays(Delays):
+    """Callers return when those told before are served by a quarter of the slots."""
 
-class ReciprocalDelays(RetryDelays):
-    """Delays by the reciprocal of the served share alone, the earlier rule."""
+    def __init__(self, min_delay_s, owner):
+        super().__init__(min_delay_s, owner)
+        self._returns_s = []
 
-    def refused_s(self, service, now_s, left_s=math.inf, *, may_return=True):
-        meter = self._meter(service)
+    def after_s(self, now_s, left_s):
+        meter = self._meter("s")
         meter.record(True, now_s)
-        expected_s = self._min_delay_s / (1.0 - meter.refused_share)
-        return self._spread(min(MAX_DELAY_S, expected_s))
+        self._returns_s = [due_s for due_s in self._returns_s if due_s > now_s]
+        per_s = max(meter.served / METER_WINDOW_S / 4, 0.5 / self._min_delay_s)
+        backlog_s = len(self._returns_s) / per_s
+        expected_s = max(self._min_delay_s / (1.0 - meter.refused_share), backlog_s)
+        delay_s = self._spread(min(MAX_DELAY_S, expected_s))
+        self._returns_s.append(now_s + min(delay_s, left_s / 3))
+        return delay_s
 
 
 def by_arrival(rows, passed_over, now_s):
@@ -68,19 +82,18 @@
     has_reserve: bool = False
 
 
-OLD = ReciprocalDelays
 WAYS = {
-    "arrival order (earlier)": Way(by_arrival, eighth_ends_s, OLD),
-    "latest first": Way(latest_first, eighth_ends_s, OLD),
-    "least work left": Way(least_work, eighth_ends_s, OLD),
-    "feasible target": Way(by_target, eighth_ends_s, OLD),
-    "and wait to target": Way(by_target, target_ends_s, OLD),
-    "and wait to deadline": Way(by_target, last_ends_s, OLD),
-    "and last tries wait": Way(by_target, wait_ends_s, OLD),
-    "and reserve": Way(by_target, eighth_ends_s, OLD, True),
-    "reserve, last tries wait": Way(by_target, wait_ends_s, OLD, True),
-    "arrival, reserve, last": Way(by_arrival, wait_ends_s, OLD, True),
-    "arrival, new delays": Way(by_arrival, eighth_ends_s, RetryDelays),
-    "kept": Way(by_target, wait_ends_s, RetryDelays, True),
+    "arrival order (earlier)": Way(by_arrival, eighth_ends_s, Delays),
+    "latest first": Way(latest_first, eighth_ends_s, Delays),
+    "least work left": Way(least_work, eighth_ends_s, Delays),
+    "feasible target": Way(by_target, eighth_ends_s, Delays),
+    "and wait to target": Way(by_target, target_ends_s, Delays),
+    "and wait to deadline": Way(by_target, last_ends_s, Delays),
+    "and last tries wait": Way(by_target, wait_ends_s, Delays),
+    "and reserve": Way(by_target, eighth_ends_s, Delays, True),
+    "arrival, reserve, last": Way(by_arrival, wait_ends_s, Delays, True),
+    "arrival, backlog delays": Way(by_arrival, eighth_ends_s, BacklogDelays),
+    "kept": Way(by_target, wait_ends_s, Delays, True),
+    "kept, backlog delays": Way(by_target, wait_ends_s, BacklogDelays, True),
     "ideal queue": None,
 }
--- a/packages/snipebay-testbed/tests/test_waiting_at_scale.py
+++ b/packages/snipebay-testbed/tests/test_waiting_at_scale.py
@@ -11,8 +11,8 @@
 
 # Seeds by size; the fewer instances, the more they differ.
 SEEDS = {12: 8, 70: 3, 133: 2, 440: 1}
-# Two standard errors of the difference between both ways over that many seeds, at the
-# size where it is largest (24, 10, 6 and 4 other seeds of each size).
+# About two standard errors of the difference between both ways over that many seeds, at
+# the size where it is largest (24, 10, 6 and 4 other seeds of each size).
 NOISE, NOISE_OF_KIND, NOISE_OF_DOMAIN = 0.02, 0.045, 0.06
 WORST = 2.0
 
