--- a/packages/snipebay-testbed/src/snipebay_testbed/waiting_study.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/waiting_study.py
@@ -18,20 +18,13 @@
 from snipebay_policy.waiting.rows import WaitingRow
 from snipebay_policy.waiting.service_order import PassedOver
 
-from snipebay_testbed.waiting_ways import WAYS, Delays
+from snipebay_testbed.waiting_ways import KINDS, WAYS, Delays
 
 __all__ = ["CASES", "SIZES", "Replay", "Result", "mean_result"]
 
 SIZES = (12, 70, 133, 440)
 # Demand as a multiple of capacity; "rejecting" servers reject all at 0.9.
 CASES = (0.9, 1.05, 1.3, 2.0, "rejecting")
-# Requests per second, service time, target and deadline of each kind.
-KINDS = (
-    (366, 0.480, 0.400, 2.5),
-    (152, 0.600, 1.000, 3.0),
-    (152, 0.324, 0.300, 1.5),
-    (152, 0.184, 0.250, 1.0),
-)
 RATES = [kind[0] for kind in KINDS]
 KIND_SHARES = [share / sum(RATES) for share in itertools.accumulate(RATES)]
 MEAN_S = sum(k[0] * k[1] for k in KINDS) / sum(k[0] for k in KINDS)
--- a/packages/snipebay-testbed/src/snipebay_testbed/waiting_ways.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/waiting_ways.py
@@ -5,7 +5,15 @@
 from snipebay_policy.waiting.service_order import decide
 from snipebay_policy.waiting.wait_end import fastest_s, wait_ends_s
 
-__all__ = ["WAYS", "Delays", "Way"]
+__all__ = ["KINDS", "WAYS", "Delays", "Way"]
+
+# Requests per second, service time, target and deadline of each kind.
+KINDS = (
+    (366, 0.480, 0.400, 2.5),
+    (152, 0.600, 1.000, 3.0),
+    (152, 0.324, 0.300, 1.5),
+    (152, 0.184, 0.250, 1.0),
+)
 
 
 class Delays(RetryDelays):
@@ -44,7 +52,8 @@
 
 
 def least_work(rows, passed_over, now_s):
-    return sorted(rows, key=lambda r: (r.priority, r.expected_s, r.arrived_s))
+    # The product knows the time of the service only; here that of the kind is known.
+    return sorted(rows, key=lambda r: (r.priority, KINDS[r.group[0]][1], r.arrived_s))
 
 
 def by_target(rows, passed_over, now_s):
