--- a/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
+++ b/packages/snipebay-policy/src/snipebay_policy/workspaces/quota.py
@@ -6,7 +6,6 @@
 this instance by workspace, which is known when a request is dispatched.
 """
 
-import collections
 import itertools
 import math
 
@@ -17,6 +16,7 @@
 from snipebay_policy.workspaces.credit_bucket import GRANT_S, CreditBucket
 from snipebay_policy.workspaces.over_limit import OverLimit
 from snipebay_policy.workspaces.quota_account import REFRESH_S, QuotaAccount
+from snipebay_policy.workspaces.quota_labels import credit_by_label
 
 __all__ = ["QuotaSystem"]
 
@@ -39,9 +39,6 @@
 MAX_WAIT_S = 0.4
 # Rows of a report take up to 80 bytes, and those of its reply 50.
 MAX_REPORTS = 64
-# Workspaces with a label of their own in metrics, and the label of all others.
-MAX_LABELS = 32
-OTHERS_LABEL = "others"
 # Id of no request for credit, which keeps another one from being sent.
 CLOSED = -1
 # A workspace without requests for this long is forgotten.
@@ -103,18 +100,9 @@
         return any(account.parked for account in self._accounts.values())
 
     def credit_held(self, now_s):
-        """Return the credit available here by label for metrics.
-
-        The workspaces with the largest limits have labels of their own.
-        """
+        """Return the credit available here by label for metrics."""
         workspaces = self.ctx.workspaces.by_name.values()
-        ranked = sorted(workspaces, key=lambda w: (-w.rate_per_s, w.name))
-        labels = {workspace.name for workspace in ranked[:MAX_LABELS]}
-        found = collections.Counter()
-        for name, account in self._accounts.items():
-            account.bucket.update(now_s)
-            found[name if name in labels else OTHERS_LABEL] += account.bucket.credit
-        return found
+        return credit_by_label(self._accounts, workspaces, now_s)
 
     # --- requests ---------------------------------------------------------
 
