--- a/packages/snipebay-policy/tests/test_quotas.py
+++ b/packages/snipebay-policy/tests/test_quotas.py
@@ -8,7 +8,8 @@
 from snipebay_policy.arrivals import Arrival
 from snipebay_policy.work import Dispatch, Send
 from snipebay_policy.workspaces.fairness import MAX_WORKSPACES, WorkspaceUse
-from snipebay_policy.workspaces.quota import MAX_LABELS, MAX_REPORTS
+from snipebay_policy.workspaces.quota import MAX_REPORTS
+from snipebay_policy.workspaces.quota_labels import MAX_LABELS
 from snipebay_testbed.forward_case import NON_IDEMPOTENT, ROUTE, ForwardCase
 
 
