--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -13,6 +13,7 @@
 from snipebay_policy.action_queue import ActionQueue
 from snipebay_policy.balancing.load_exchange import LoadExchange
 from snipebay_policy.commands import CommandSystem
+from snipebay_policy.entry_lookup import EntryLookup
 from snipebay_policy.fleet import Fleet
 from snipebay_policy.forward import ForwardSystem
 from snipebay_policy.forward_rows import ForwardRules
@@ -71,7 +72,7 @@
     revoke_s: float | None = None
 
 
-class RoutedCore(ServiceTables, ActionQueue):
+class RoutedCore(ServiceTables, EntryLookup, ActionQueue):
     """Entry instance for routed requests, without I/O.
 
     The adapter passes in events, then carries out :meth:`pop_actions`.
@@ -193,27 +194,6 @@
         self.row = attrs.evolve(self.row, leaving=True)
         self._renew(now_s)
 
-    def lookup(self, domain, region):
-        """Return the addresses of entry instances for a caller, nearest first.
-
-        Args:
-            domain: Failure domain of the caller.
-            region: Region of the caller.
-        """
-        rows = [row for row in self.view.entries if not row.leaving]
-        rows = [row for row in rows if not self._is_isolated(row)] or rows
-        same_domain = [row for row in rows if row.domain == domain]
-        same_region = [row for row in rows if row.region == region]
-        # With a single instance, its callers would have no other address when it fails.
-        found = same_domain if len(same_domain) > 1 else same_region or rows
-        return [row.address for row in found]
-
-    def _is_isolated(self, row):
-        """Return True if an entry instance reaches no backend server."""
-        if row.entry_id == self.row.entry_id:
-            return self.reach.is_isolated
-        return row.entry_id in self.hop_table.isolated
-
     def on_reach_changed(self, now_s):
         """Log and report that backend servers are no longer reached, or again."""
         event = (
