Test: messages on quotas and loads beside the build that was landed last

Credit reports and parts in renewals, requests for credit, their replies and load news were exchanged with the landed build by no test. It ignores the fields and drops the messages of kinds that it doesn't know; this build reads its renewals. No code of the product changes.

--- a/packages/snipebay-testbed/tests/landed_build.py
+++ b/packages/snipebay-testbed/tests/landed_build.py
@@ -152,6 +152,38 @@
     print(*(getattr(body, "reads_workspaces", None) for body in bodies))
 
 
+def make_credit_messages():
+    """Return the messages on quotas and loads, with what this build can say in them."""
+    row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
+    bodies = [messages.Renew(row, 5, 1, 1), messages.RenewReply("c1", True)]
+    if hasattr(messages, "CreditRequest"):
+        report = messages.CreditReport("w", 3, 2, 1.5, 2.0, held=1)
+        part = messages.CreditPart("w", 1.5, 2.0)
+        bodies = [
+            attrs.evolve(bodies[0], credit_reports=(report,), reports_all_credit=True),
+            attrs.evolve(bodies[1], credit_parts=(part,)),
+            messages.CreditRequest(1, "w", 2, 1, 1, 1),
+            messages.CreditReply(1, "w", 2, spare=1),
+            messages.LoadNews((messages.LoadRow("i-1", 5, 3, 120, 40),)),
+        ]
+    frames = [encode(Envelope("x", body)) for body in bodies]
+    return msgspec.msgpack.encode(frames)
+
+
+def read_credit_messages(raw):
+    """Print the kinds of the messages, with what this build knows of quotas in them."""
+    found = []
+    for frame in msgspec.msgpack.decode(raw):
+        try:
+            body = decode(frame).body
+        except CodecError as exc:
+            found.append(str(exc))
+            continue
+        rows = getattr(body, "credit_reports", getattr(body, "credit_parts", ()))
+        found.append(f"{type(body).__name__} {len(rows)}")
+    print(", ".join(found))
+
+
 def describe(state):
     """Print what a state holds, as far as both builds know it."""
     print(
@@ -181,6 +213,10 @@
         sys.stdout.buffer.write(make_statements())
     elif name == "read-statements":
         read_statements(raw[0])
+    elif name == "credits":
+        sys.stdout.buffer.write(make_credit_messages())
+    elif name == "read-credits":
+        read_credit_messages(raw[0])
     elif "plan" in name:
         sys.stdout.buffer.write(write_plan(name))
     else:
--- a/packages/snipebay-testbed/tests/test_landed_build.py
+++ b/packages/snipebay-testbed/tests/test_landed_build.py
@@ -128,6 +128,21 @@
         found = self.exchange("present", "statements", "present", "read-statements")
         self.assertEqual(found, "True True")
 
+    def test_messages_on_quotas_and_loads(self):
+        """Guards against a message that an older build can't skip."""
+        found = self.exchange("landed", "credits", "present", "read-credits")
+        self.assertEqual(found, "Renew 0, RenewReply 0")
+        found = self.exchange("present", "credits", "present", "read-credits")
+        self.assertEqual(
+            found, "Renew 1, RenewReply 1, CreditRequest 0, CreditReply 0, LoadNews 0"
+        )
+        found = self.exchange("present", "credits", "landed", "read-credits")
+        unknown = (
+            f"unknown message kind {kind!r}"
+            for kind in ("CreditRequest", "CreditReply", "LoadNews")
+        )
+        self.assertEqual(found, ", ".join(("Renew 0", "RenewReply 0", *unknown)))
+
 
 if __name__ == "__main__":
     unittest.main()
