--- a/review/common/upstreams.py
+++ b/review/common/upstreams.py
@@ -102,7 +102,7 @@
                 request = Request(method, target, headers, body, number)
                 if not await self._answer(request, writer):
                     return
-        except (asyncio.IncompleteReadError, OSError, asyncio.LimitOverrunError):
+        except (asyncio.IncompleteReadError, OSError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
