Add review case 7: a late withdrawal removes an upstream that has started again

A core machine that was frozen handles a DELETE whose caller has moved on. It removes the new incarnation of the upstream for good, while its heartbeats are acknowledged, so the service is never served again. The rule is Starved.

--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -1,8 +1,10 @@
-"""Pipelined requests behind an answer that its upstream breaks off."""
+"""Upstreams that start again under their ids while a core machine is frozen."""
 
 import asyncio
+import itertools
 import os
 import pathlib
+import signal
 import sys
 import time
 
@@ -11,130 +13,154 @@
 from common.deployment import (  # noqa: E402
     FRONTEND,
     Deployment,
+    call,
     config,
     read_response,
     route,
 )
-from common.upstreams import RunLog, Upstream, body_for  # noqa: E402
+from common.upstreams import RunLog, Upstream  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUNDS = 60
-DEPTH = 4
-# One answer in this many is broken off, by half of the upstreams.
-BROKEN_EVERY = 20
-# They do so for this long, then all answers are whole for the pause.
-GARBLE_S, PAUSE_S = 5.5, 2.0
-SIZE = 200_000
-SMALL = 400
+DRAIN_S = 2.5
+FREEZE_S = 6.5
+TRAFFIC_S = 98.0
+# Pauses of each client between two requests, by route.
+PAUSE_S = {"stock": 0.05, "orders": 0.6}
 
 record = open(pathlib.Path(__file__).with_name("record.txt"), "w")
+START = time.monotonic()
 
 
 def note(text):
-    print(text, file=record, flush=True)
-
-
-class Answers:
-    """Answers of the upstreams: those of the service `pages` are long."""
-
+    print(f"{time.monotonic() - START:7.2f} {text}", file=record, flush=True)
+
+
+class Server:
+    """One upstream over its incarnations; it calls the core machine of its zone first.
+
+    It leaves as some upstreams do: with a DELETE, without saying `draining` before.
+    """
+
+    def __init__(self, deployment, ident, service, ip, zone, log):
+        controls = [f"{core.ip}:8544" for core in deployment.cores]
+        own = next(n for n, core in enumerate(deployment.cores) if core.zone == zone)
+        self.controls = controls[own:] + controls[:own]
+        self.args = (ident, service, ip, zone, self.controls, log)
+        self.ident = ident
+        self.upstream = None
+
+    async def start(self):
+        self.upstream = Upstream(*self.args, slots=8, work_s=0.05)
+        await self.upstream.start()
+
+    async def restart(self):
+        """Withdraw, serve on until the acknowledgement binds, and start again."""
+        path = f"/v1/instances/{self.ident}"
+        self.upstream._beat_task.cancel()
+        for address in itertools.cycle(self.controls):
+            status, _, _ = await call(address, "DELETE", path)
+            note(f"{self.ident}: DELETE at {address} -> {status or 'no answer in 1 s'}")
+            if 200 <= status < 300:
+                break
+        await asyncio.sleep(DRAIN_S + 0.2)
+        await self.upstream.stop()
+        note(f"{self.ident}: ended, starts again under its id")
+        await self.start()
+
+
+class Counts:
     def __init__(self):
-        self.long_count = 0
-
-    async def __call__(self, upstream, request, writer):
-        ident = request.ident
-        if upstream.service == "pages":
-            body = body_for(ident, SIZE)
-            writer.write(upstream.head(200, len(body), ident))
-            await asyncio.sleep(0.1)
-            is_garbling = time.monotonic() % (GARBLE_S + PAUSE_S) < GARBLE_S
-            self.long_count += is_garbling
-            if TROUBLE and is_garbling and self.long_count % BROKEN_EVERY == 0:
-                note(f"{upstream.ident} breaks off its answer to {ident}")
-                writer.write(body[: SIZE // 2])
-                await writer.drain()
-                await asyncio.sleep(0.1)
-                return False
-            writer.write(body)
-            await writer.drain()
-            return True
-        await asyncio.sleep(0.4)
-        body = body_for(ident, SMALL)
-        writer.write(upstream.head(200, len(body), ident) + body)
-        await writer.drain()
-        return True
-
-
-async def ask(edge, number, rows):
-    """Send one request on a new connection, then several more on the kept one."""
-    reader, writer = await asyncio.open_connection(edge.ip, FRONTEND, limit=1 << 20)
-    try:
-        batches = [[("/read/warm", f"w{number}")]]
-        batches.append(
-            [("/pages/long", f"p{number}")]
-            + [(f"/read/{i}", f"r{number}-{i}") for i in range(1, DEPTH)]
-        )
-        for batch in batches:
-            data = "".join(
-                f"GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {ident}\r\n"
-                "Deadline-Ms: 2500\r\n\r\n"
-                for path, ident in batch
+        self.asked = {"stock": 0, "orders": 0}
+        self.served = {"stock": 0, "orders": 0}
+
+    def share(self, name):
+        return self.served[name] / max(1, self.asked[name])
+
+    @property
+    def total(self):
+        return sum(self.served.values()) / max(1, sum(self.asked.values()))
+
+
+async def client(deployment, name, number, counts, end):
+    edge = deployment.edges[number % len(deployment.edges)]
+    reader = writer = None
+    for n in itertools.count():
+        if time.monotonic() >= end:
+            break
+        counts.asked[name] += 1
+        try:
+            if writer is None:
+                reader, writer = await asyncio.open_connection(edge.ip, FRONTEND)
+            writer.write(
+                f"GET /{name}/x HTTP/1.1\r\nHost: shop.example\r\n"
+                f"Request-Id: {name}-{number}-{n}\r\nDeadline-Ms: 2500\r\n\r\n".encode()
             )
-            writer.write(data.encode())
-            for path, ident in batch:
-                try:
-                    async with asyncio.timeout(4):
-                        status, headers, body = await read_response(reader)
-                    rows[ident] = f"{status} with {len(body)} bytes"
-                except (asyncio.IncompleteReadError, OSError, TimeoutError) as exc:
-                    rows[ident] = f"no answer: {type(exc).__name__}"
-    finally:
+            async with asyncio.timeout(3):
+                status, headers, _ = await read_response(reader)
+            counts.served[name] += status == 200
+            if headers.get("connection") == "close":
+                writer.close()
+                writer = None
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            if writer is not None:
+                writer.close()
+            writer = None
+        await asyncio.sleep(PAUSE_S[name])
+    if writer is not None:
         writer.close()
 
 
 async def play(deployment):
-    log, answers, upstreams = RunLog(), Answers(), []
-    routes = [
-        route("read", "/read/", "reads", max_attempts=2),
-        route("pages", "/pages/", "pages", max_attempts=2),
-    ]
-    await deployment.put_first_config(config(1, 0, routes, ["reads", "pages"]))
-    for number, service in enumerate(["reads", "pages"] * 3):
-        zone = ["north-1", "mid-1", "south-1"][number // 2]
+    routes = [route("stock", "/stock/", "stock"), route("orders", "/orders/", "orders")]
+    await deployment.put_first_config(config(1, 0, routes, ["stock", "orders"]))
+    log, servers = RunLog(), []
+    for number in range(4):
+        service = "orders" if number < 2 else "stock"
+        zone = "north-1" if number < 2 else "mid-1"
         ip = f"{deployment.prefix}.{60 + number}"
-        upstream = Upstream(
-            f"i-{number}", service, ip, zone, deployment.controls, log, slots=8
+        server = Server(deployment, f"i-{number}", service, ip, zone, log)
+        await server.start()
+        servers.append(server)
+    await deployment.wait_ready()
+    await asyncio.sleep(2)
+    counts = Counts()
+    end = time.monotonic() + TRAFFIC_S
+    clients = [
+        asyncio.create_task(client(deployment, name, number, counts, end))
+        for name in PAUSE_S
+        for number in range(4)
+    ]
+    frozen = deployment.cores[0]
+    for server in servers[:2]:
+        await asyncio.sleep(1.5)
+        thaw = time.monotonic() + FREEZE_S
+        if TROUBLE:
+            note(f"freeze {frozen.name} at {frozen.ip}")
+            frozen.signal(signal.SIGSTOP)
+        await server.restart()
+        await asyncio.sleep(max(0.0, thaw - time.monotonic()))
+        if TROUBLE:
+            note(f"thaw {frozen.name}")
+            frozen.signal(signal.SIGCONT)
+    while time.monotonic() < end:
+        await asyncio.sleep(min(10.0, max(0.1, end - time.monotonic())))
+        beats = [await server.upstream.beat() for server in servers[:2]]
+        note(
+            f"served so far: stock {counts.share('stock'):.3f}, orders "
+            f"{counts.share('orders'):.3f}, all {counts.total:.3f}; heartbeats of the "
+            f"upstreams of orders acknowledged: {beats}"
         )
-        upstream.on_request = answers
-        await upstream.start()
-        upstreams.append(upstream)
-    try:
-        await deployment.wait_ready()
-        # Until all machines have been in touch for stability_window_s.
-        await asyncio.sleep(6)
-        rows = {}
-
-        async def client(edge):
-            for number in range(ROUNDS):
-                await ask(edge, f"{edge.name[5:]}.{number}", rows)
-
-        await asyncio.gather(*map(client, deployment.edges))
-    finally:
-        for upstream in upstreams:
-            await upstream.stop()
-    lost = {}
-    for ident, found in rows.items():
-        ran = [where for where, *_ in log.runs.get(ident, [])]
-        note(f"{ident}: ran at {ran}, got {found}")
-        if ident.startswith("r") and ran and found.startswith("no answer"):
-            edge = f"edge-{ident[1:].split('.')[0]}"
-            lost.setdefault(edge, []).append(ident)
-    for edge, idents in lost.items():
-        note(f"{edge}: passed on to sound upstreams, no answer: {len(idents)} {idents}")
-    return any(len(idents) > 3 for idents in lost.values())
+    await asyncio.gather(*clients)
+    for server in servers:
+        await server.upstream.stop()
+    note(f"asked {counts.asked}, served {counts.served}")
+    is_starved = counts.share("orders") < counts.total / 4
+    note(f"orders are served less than a quarter as often as all: {is_starved}")
+    return is_starved
 
 
 async def main():
-    deployment = Deployment(cores=3, edges=3)
+    deployment = Deployment(cores=3, edges=2)
     try:
         deployment.start()
         return 1 if await play(deployment) else 0
@@ -143,11 +169,9 @@
 
 
 if __name__ == "__main__":
-    started = time.monotonic()
     try:
         code = asyncio.run(main())
     except Exception as exc:  # noqa: BLE001
         note(f"could not run: {exc!r}")
         code = 2
-    note(f"exit {code} after {time.monotonic() - started:.0f} s")
     sys.exit(code)
