Patches are merged only into the version that they build on

Callers saw: of two patches in progress at once, the second on top of the first, both were acknowledged, and the change of the first was gone.

Cause: the instance that took a patch read the plan, merged the patch into it and proposed the result with the patch's own base version. The replicated state compares that base only. Nothing compared it with the version read, so a patch could be merged into the version before its base and pass the check once the base was committed.

Change: a patch is merged into a plan of its base version only. Whether a change whose base was replaced was accepted before is asked of the replicated state, which knows more digests than a reading names.

Why it works: the plan that is merged into and the version that is compared when the log is applied are the same, and versions only increase.

--- a/packages/snipebay-model/src/snipebay_model/plan.py
+++ b/packages/snipebay-model/src/snipebay_model/plan.py
@@ -160,6 +160,11 @@
     plan: Plan | None
     digests: tuple[str, ...] = ()
 
+    @property
+    def version(self):
+        """Version of the plan, 0 before the first one."""
+        return self.plan.version if self.plan else 0
+
 
 def validate_plan(plan):
     """Return the errors of a plan, an empty list for a valid one.
--- a/packages/snipebay-node/src/snipebay_node/control_client.py
+++ b/packages/snipebay-node/src/snipebay_node/control_client.py
@@ -6,7 +6,7 @@
 import msgspec
 from snipebay_model import messages
 from snipebay_model.messages import WITHDRAWN, Outcome
-from snipebay_model.plan import PlanReading
+from snipebay_model.plan import Plan, PlanReading
 from snipebay_policy.action_queue import ActionQueue
 from snipebay_policy.commands import CommandSystem
 from snipebay_policy.work import Send
@@ -16,6 +16,8 @@
 # Below the 1 s after which a client switches to another control instance.
 CALL_TIMEOUT_S = 0.9
 READ_RETRY_INTERVAL_S = 0.3
+# A version that is in progress is committed within a few round trips.
+VERSION_POLL_INTERVAL_S = 0.1
 UNAVAILABLE = Outcome(
     "unavailable", detail="control has no leader that a quorum confirms"
 )
@@ -28,11 +30,19 @@
 
 @attrs.define
 class _PendingRead:
-    """A read of the plan that is waiting for its reply."""
+    """A read of the plan that is waiting for its reply, or for a newer version.
+
+    Attributes:
+        min_version: Version that the plan should have at least.
+        newest: Outcome and reading passed on when time runs out.
+    """
 
     done: object
+    min_version: int
     started_s: float
     sent_s: float
+    interval_s: float = READ_RETRY_INTERVAL_S
+    newest: tuple = (UNAVAILABLE, None)
 
 
 class ControlClient(ActionQueue):
@@ -88,15 +98,26 @@
         """Remove a backend server that is shutting down."""
         self._command(messages.RemoveBackend(backend_id, WITHDRAWN), done)
 
-    def read_plan(self, done):
+    def confirm_plan(self, base_version, digest, done):
+        """Ask whether a change was accepted whose base version has been replaced.
+
+        The outcome is ``ok`` if it was, otherwise ``conflict``.
+        """
+        # Versions only increase, so a plan on top of this one is never applied.
+        plan = Plan(base_version + 1)
+        self._command(messages.ApplyPlan(digest, base_version, plan), done)
+
+    def read_plan(self, done, min_version=0):
         """Read the current plan.
 
         Args:
             done: Function of the outcome and a PlanReading, or None on failure.
+            min_version: Version to wait for while it is in progress. Without it in
+                time, the older plan is passed on.
         """
         now_s = self.clock()
         read_id = next(self._read_ids)
-        self._pending_reads[read_id] = _PendingRead(done, now_s, now_s)
+        self._pending_reads[read_id] = _PendingRead(done, min_version, now_s, now_s)
         self._send_read(read_id)
 
     # --- inputs -----------------------------------------------------------
@@ -121,9 +142,11 @@
         for read_id, read in list(self._pending_reads.items()):
             if now_s - read.started_s > CALL_TIMEOUT_S:
                 del self._pending_reads[read_id]
-                read.done(UNAVAILABLE, None)
-            elif now_s - read.sent_s > READ_RETRY_INTERVAL_S:
-                read.sent_s = now_s
+                read.done(*read.newest)
+            elif now_s - read.sent_s > read.interval_s:
+                read.sent_s, read.interval_s = now_s, READ_RETRY_INTERVAL_S
+                # What an earlier reply said may have changed since.
+                read.newest = UNAVAILABLE, None
                 self._send_read(read_id)
 
     # --- helpers ----------------------------------------------------------
@@ -148,6 +171,10 @@
         read = self._pending_reads.get(msg.request_id)
         if read is None or msg.outcome.code != "ok":
             return
-        del self._pending_reads[msg.request_id]
         reading = msgspec.msgpack.decode(msg.data, type=PlanReading)
+        if reading.version < read.min_version:
+            read.newest = msg.outcome, reading
+            read.interval_s = VERSION_POLL_INTERVAL_S
+            return
+        del self._pending_reads[msg.request_id]
         read.done(msg.outcome, reading)
