A withdrawal removes only the incarnation that sent it

Callers saw: a service was answered 503 until the end, though its backend servers were up and their announcements were acknowledged.

Cause: a withdrawal named an id only. One that had waited at a suspended control instance removed the incarnation that had started again under the id, and left a tombstone with its start time, so that it was ignored from then on. Ignored announcements were acknowledged, and renewed leases.

Change: a withdrawal carries the log index of its connection and the start time announced there. The leader compares both with the registration of the id, from its proposal on. An expired lease is not acted on beside a proposed announcement. Ignored ones are logged with a reason and counted.

Why it works: the connection of an earlier incarnation was made before the present one was registered, or announced another start time. The leader knows all registrations up to its last proposal. The new field has no effect when the command is applied, so replicas of both builds stay equal.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -24,7 +24,7 @@
 from snipebay_control.cluster_status import cluster_status
 from snipebay_control.config import ControlConfig
 from snipebay_control.credit_board import CreditBoard
-from snipebay_control.delayed_commands import OUTDATING_KINDS, DelayedCommands
+from snipebay_control.delayed_commands import DelayedCommands
 from snipebay_control.entry_replies import EntryReplies
 from snipebay_control.joining import JoinProtocol
 from snipebay_control.membership import instance_id_of
@@ -258,6 +258,7 @@
                 RemoveBackend(row.backend_id, WITHDRAWN if row.leaving else reason),
             )
             for row in self.sessions.expired_backends(self.state, self._now_s)
+            if not self._delayed.is_renewing(row.backend_id)
         ]
         for name, cmd in expired:
             if self._propose_once(cmd):
@@ -278,37 +279,41 @@
     # --- requests ---------------------------------------------------------
 
     def _on_command(self, sender, msg):
-        outcome = self._immediate_outcome(msg)
+        cmd, outcome = self._decode_command(msg)
+        if outcome is None:
+            outcome = self._immediate_outcome(cmd, msg.base_index)
+        fields = {"base": msg.base_index, "sender": sender}
         if outcome is None:
             index = self._propose_encoded(msg.kind, msg.data)
-            if msg.kind in OUTDATING_KINDS:
-                cmd = decode_body(msg.kind, msg.data)
-                self._delayed.record_proposed(cmd, index)
-                self.telemetry.record_order(
-                    "order proposed", cmd, index, base=msg.base_index, sender=sender
-                )
+            self._delayed.record_proposed(cmd, index)
+            self.telemetry.record_order("order proposed", cmd, index, **fields)
             pending_reply = (self.raft.term, sender, msg.request_id, self._now_s)
             self._pending_replies[index] = pending_reply
             return
         if outcome.code == "outdated":
-            cmd = decode_body(msg.kind, msg.data)
             index = self.raft.log.last_index
-            self.telemetry.record_order(
-                "order refused", cmd, index, base=msg.base_index, sender=sender
-            )
+            self.telemetry.record_order("order refused", cmd, index, **fields)
         reply = CommandReply(msg.request_id, outcome, self.leader_id)
         self._outbox.append((sender, reply))
 
-    def _immediate_outcome(self, msg):
-        """Return the outcome of a command that is not proposed, or None."""
+    def _decode_command(self, msg):
+        """Return the command and None, or None and why it is not considered."""
         if not self._may_serve:
-            return Outcome("not-leader", detail="not the leader, or no quorum")
+            detail = "not the leader, or no quorum"
+            return None, Outcome("not-leader", detail=detail)
         try:
-            cmd = decode_body(msg.kind, msg.data)
+            return decode_body(msg.kind, msg.data), None
         except CodecError as exc:
-            return Outcome("invalid", detail=str(exc))
-        if outcome := self._delayed.refusal(cmd, msg.base_index):
-            self.telemetry.changes.append(("delayed command refused", outcome.detail))
+            return None, Outcome("invalid", detail=str(exc))
+
+    def _immediate_outcome(self, cmd, base_index):
+        """Return the outcome of a command that is not proposed, or None."""
+        if outcome := self._delayed.refusal(cmd, base_index):
+            if outcome.code == "superseded":
+                self.telemetry.record_ignored(cmd.row, outcome.detail)
+            else:
+                event = "delayed command refused"
+                self.telemetry.changes.append((event, outcome.detail))
             return outcome
         outcome = admission(
             self.state, cmd, requires_known_service=self.cfg.dynamic_membership
@@ -342,20 +347,19 @@
         outcome = Outcome("ok", self.state.revision)
         if entry.kind == "command":
             kind, data = msgspec.msgpack.decode(entry.data, type=COMMAND_TYPE)
-            outcome = self.state.apply(kind, data)
-            if kind in OUTDATING_KINDS:
-                cmd = decode_body(kind, data)
-                self._delayed.record_applied(cmd, entry.index)
-                self.telemetry.record_order(
-                    "order applied",
-                    cmd,
-                    entry.index,
-                    term=entry.term,
-                    revision=outcome.revision,
-                )
+            cmd = decode_body(kind, data)
+            outcome = self.state.execute(cmd)
+            self._delayed.record_applied(cmd, entry.index)
+            self.telemetry.record_order(
+                "order applied",
+                cmd,
+                entry.index,
+                term=entry.term,
+                revision=outcome.revision,
+            )
             self._proposed_commands.discard((kind, data))
-            if kind == "PutBackend" and self.raft.is_leader:
-                self._grant_backend(decode_body(kind, data).row)
+            if isinstance(cmd, messages.PutBackend) and self.raft.is_leader:
+                self._on_announcement(cmd.row, outcome)
         not_waiting = (0, "", 0, 0.0)
         term, sender, request_id, received_s = self._pending_replies.pop(
             entry.index, not_waiting
@@ -365,6 +369,13 @@
             reply = CommandReply(request_id, outcome, self.leader_id)
             self._outbox.append((sender, reply))
 
+    def _on_announcement(self, row, outcome):
+        """Renew the lease of an announced backend server, unless it was ignored."""
+        if outcome.code == "ok":
+            self._grant_backend(row)
+        else:
+            self.telemetry.record_ignored(row, outcome.detail)
+
     def _grant_backend(self, row):
         self.sessions.renew_backend(row.backend_id, row.service, self._now_s)
 
--- a/packages/snipebay-control/src/snipebay_control/registry.py
+++ b/packages/snipebay-control/src/snipebay_control/registry.py
@@ -44,8 +44,8 @@
         self.rows.update({row.backend_id: row for row in rows})
         self.tombstones = {tombstone.backend_id: tombstone for tombstone in tombstones}
 
-    def is_stale(self, row: BackendRow):
-        """Return True for an announcement that is older than the registered one.
+    def stale_reason(self, row: BackendRow):
+        """Return why an announcement is older than what is known, empty if it isn't.
 
         Announcements are ordered by the start time of the incarnation, then by
         sequence. Rows from the interface of snipebay itself have neither, so each
@@ -53,15 +53,30 @@
         """
         tombstone = self.tombstones.get(row.backend_id)
         if tombstone is not None and row.born_ms <= tombstone.born_ms:
-            return True
+            return f"the incarnation that started at {tombstone.born_ms} was withdrawn"
         known = self.rows.get(row.backend_id)
         if known is not None and _announcement_order(row) < _announcement_order(known):
-            return True
-        return bool(row.born_ms) and any(
-            other.born_ms > row.born_ms
+            return f"a newer one was applied, sequence {known.sequence}"
+        later = (
+            other.backend_id
             for other in self.rows.values()
-            if other.address == row.address and other.backend_id != row.backend_id
+            if row.born_ms
+            and other.born_ms > row.born_ms
+            and other.address == row.address
+            and other.backend_id != row.backend_id
         )
+        return next((f"{other!r} is newer at its address" for other in later), "")
+
+    def is_shadowed(self, row: BackendRow):
+        """Return True for an announcement that a later start time of its id rules out.
+
+        If it is known to be newer, its sender has started after a clock went back, or
+        announces itself after its withdrawal.
+        """
+        tombstone = self.tombstones.get(row.backend_id)
+        known = self.rows.get(row.backend_id)
+        is_withdrawn = tombstone is not None and row.born_ms <= tombstone.born_ms
+        return is_withdrawn or (known is not None and row.born_ms < known.born_ms)
 
     def superseded_by(self, row: BackendRow):
         """Return ids of older incarnations at the same address as a new row."""
@@ -94,6 +109,10 @@
         self.withdrawals[backend_id] = newest
         _drop_oldest(self.withdrawals)
 
+    def withdrawal_index(self, backend_id):
+        """Return the log index of the newest withdrawal of an id, 0 if unknown."""
+        return self.withdrawals.get(backend_id, 0)
+
     def is_outdated(self, backend_id, base_index):
         """Return True if an announcement may be older than a withdrawal.
 
@@ -102,7 +121,7 @@
             base_index: Log index that was applied when the sender connected, -1 if
                 that is unknown.
         """
-        return 0 <= base_index < self.withdrawals.get(backend_id, 0)
+        return 0 <= base_index < self.withdrawal_index(backend_id)
 
 
 def _drop_oldest(table):
--- a/packages/snipebay-control/src/snipebay_control/state.py
+++ b/packages/snipebay-control/src/snipebay_control/state.py
@@ -75,8 +75,11 @@
     # --- log --------------------------------------------------------------
 
     def apply(self, kind, data):
+        """Apply an encoded command from the log and return its outcome."""
+        return self.execute(decode_body(kind, data))
+
+    def execute(self, cmd):
         """Apply a command from the log and return its outcome."""
-        cmd = decode_body(kind, data)
         return self._handlers[type(cmd)](cmd)
 
     def is_command(self, cmd):
@@ -341,8 +344,8 @@
         )
         if row == old:
             return Outcome("ok", self.revision)
-        if self.registry.is_stale(row):
-            return Outcome("stale", self.revision, "a newer incarnation is known")
+        if reason := self.registry.stale_reason(row):
+            return Outcome("stale", self.revision, reason)
         for backend_id in self.registry.superseded_by(row):
             del self.backends[backend_id]
             self._record_change("backends", backend_id)
--- a/packages/snipebay-control/src/snipebay_control/telemetry.py
+++ b/packages/snipebay-control/src/snipebay_control/telemetry.py
@@ -15,11 +15,13 @@
         changes: Pairs of event and id of the instance or backend server.
         orders: Pairs of event and fields, one for each step of an order of an
             operator.
+        ignored_announcements: Announcements without effect since the start.
     """
 
     commit_times: list = attrs.Factory(list)
     changes: list = attrs.Factory(list)
     orders: list = attrs.Factory(list)
+    ignored_announcements: int = 0
 
     def pop_all(self):
         """Return the commit times and changes, and clear them."""
@@ -27,6 +29,12 @@
         self.commit_times, self.changes = [], []
         return popped
 
+    def record_ignored(self, row, reason):
+        """Record an announcement of a backend server that had no effect."""
+        self.ignored_announcements += 1
+        subject = f"{row.backend_id} at {row.address}: {reason}"
+        self.changes.append(("announcement ignored", subject))
+
     def record_order(self, event, cmd, index, **fields):
         """Record a step of a command if it is an order of an operator.
 
--- a/packages/snipebay-model/src/snipebay_model/commands.py
+++ b/packages/snipebay-model/src/snipebay_model/commands.py
@@ -110,10 +110,14 @@
     Attributes:
         backend_id: Id of the backend server.
         reason: Why; :data:`WITHDRAWN` when the backend server asked for it.
+        born_ms: Start time of the incarnation that asked for it, 0 if unknown. The
+            leader compares it before it proposes the command. It has no effect when
+            the command is applied, as older builds don't know it.
     """
 
     backend_id: str
     reason: str
+    born_ms: int = 0
 
 
 @attrs.frozen
--- a/packages/snipebay-node/src/snipebay_node/control_client.py
+++ b/packages/snipebay-node/src/snipebay_node/control_client.py
@@ -94,9 +94,14 @@
         """
         self._command(messages.PutBackend(row), done, base_index)
 
-    def withdraw(self, backend_id, done):
-        """Remove a backend server that is shutting down."""
-        self._command(messages.RemoveBackend(backend_id, WITHDRAWN), done)
+    def withdraw(self, backend_id, done, base_index, born_ms):
+        """Remove a backend server that is shutting down.
+
+        The outcome is ``outdated`` if another incarnation of it was registered after
+        ``base_index``, or than the one that started at ``born_ms`` if that is known.
+        """
+        cmd = messages.RemoveBackend(backend_id, WITHDRAWN, born_ms)
+        self._command(cmd, done, base_index)
 
     def confirm_plan(self, base_version, digest, done):
         """Ask whether a change was accepted whose base version has been replaced.
--- a/packages/snipebay-node/src/snipebay_node/http_connection.py
+++ b/packages/snipebay-node/src/snipebay_node/http_connection.py
@@ -38,6 +38,8 @@
         log_index: Log index that this instance had at least applied when the caller
             connected, -1 if unknown. A process that was suspended may apply newer
             entries before it accepts a connection that has waited in its kernel.
+        announced: Id and start time of the backend server that the caller announced
+            last on this connection, empty and 0 before.
         active_s: Time of the last input or accept.
         is_deferred: True while input waits until other connections had their turn.
     """
@@ -46,6 +48,7 @@
         self.server = server
         self.stream = stream
         self.log_index = server.known_index
+        self.announced = "", 0
         self._parser = self._new_parser()
         self._receiving = None
         self._pipeline = collections.deque()
--- a/packages/snipebay-node/src/snipebay_node/state_collector.py
+++ b/packages/snipebay-node/src/snipebay_node/state_collector.py
@@ -127,6 +127,11 @@
         yield _evacuated_gauge("control", sorted(state.evacuated))
         rows = len(control.state.backends)
         yield _gauge("known_backends", "Backend servers with a lease.", rows)
+        yield CounterMetricFamily(
+            "snipebay_ignored_announcements",
+            "Announcements of backend servers without effect, at the leader.",
+            value=control.telemetry.ignored_announcements,
+        )
 
 
 def _evacuated_gauge(role, domains):
--- a/packages/snipebay-testbed/src/snipebay_testbed/older_build.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/older_build.py
@@ -7,7 +7,14 @@
 
 import attrs
 
-__all__ = ["BASELESS_COMMIT", "KEYLESS_COMMIT", "LANDED_COMMIT", "Build", "BuildError"]
+__all__ = [
+    "BASELESS_COMMIT",
+    "KEYLESS_COMMIT",
+    "LANDED_COMMIT",
+    "NAMELESS_COMMIT",
+    "Build",
+    "BuildError",
+]
 
 ROOT = pathlib.Path(__file__).parents[4]
 # The build that was landed before commands had a base and snapshots withdrawals.
@@ -15,6 +22,8 @@
 LANDED_COMMIT = "8f3b9b4"
 # The build that was landed last, before plans had workspaces.
 KEYLESS_COMMIT = "37ed2d4"
+# The build that was landed before withdrawals named their incarnation.
+NAMELESS_COMMIT = "7ae4d88"
 PACKAGES = ("model", "policy", "control", "node", "testbed")
 
 
--- a/packages/snipebay-testbed/tests/landed_build.py
+++ b/packages/snipebay-testbed/tests/landed_build.py
@@ -184,6 +184,44 @@
     print(", ".join(found))
 
 
+def withdrawal():
+    """Return a withdrawal, with all that this build can say in it."""
+    names = {field.name for field in attrs.fields(messages.RemoveBackend)}
+    values = {"born_ms": 5} if "born_ms" in names else {}
+    return messages.RemoveBackend("i-1", messages.WITHDRAWN, **values)
+
+
+def apply_withdrawal(raw):
+    """Print the state after a withdrawal that was sent as a command."""
+    state = ControlState()
+    for cmd in commands()[1:3]:
+        state.apply(*encode_body(cmd))
+    request = decode(raw).body
+    state.apply(request.kind, request.data)
+    print(request.base_index, end=" ")
+    describe(state)
+
+
+def incarnations():
+    """Return encoded commands about incarnations that follow each other or are late."""
+    rng = np.random.default_rng(1)
+    rows = [
+        BackendRow("i-1", "s", "10.0.0.1:80", "a", "a-1", 4, born_ms=born, sequence=n)
+        for born, n in rng.integers(1, 6, size=(200, 2)).tolist()
+    ]
+    log = [
+        messages.PutBackend(row) if rng.random() < 0.7 else withdrawal() for row in rows
+    ]
+    return msgspec.msgpack.encode([encode_body(cmd) for cmd in log])
+
+
+def replay(raw):
+    """Print the outcome codes and the state of a log."""
+    state = ControlState()
+    codes = [state.apply(*row).code for row in msgspec.msgpack.decode(raw)]
+    print(codes, state.revision, state.backends, state.registry.tombstones)
+
+
 def describe(state):
     """Print what a state holds, as far as both builds know it."""
     print(
@@ -207,6 +245,15 @@
     elif name == "read":
         request = decode(raw[0]).body
         print(request.request_id, request.kind, getattr(request, "base_index", None))
+    elif name == "withdrawal":
+        request = messages.CommandRequest(3, *encode_body(withdrawal()), base_index=7)
+        sys.stdout.buffer.write(encode(Envelope("e-1", request)))
+    elif name == "withdraw":
+        apply_withdrawal(raw[0])
+    elif name == "log":
+        sys.stdout.buffer.write(incarnations())
+    elif name == "replay":
+        replay(raw[0])
     elif name in ("load-plan", "apply", "view"):
         read_plan(name, raw[0])
     elif name == "statements":
--- a/packages/snipebay-testbed/tests/test_landed_build.py
+++ b/packages/snipebay-testbed/tests/test_landed_build.py
@@ -10,6 +10,7 @@
     BASELESS_COMMIT,
     KEYLESS_COMMIT,
     LANDED_COMMIT,
+    NAMELESS_COMMIT,
     Build,
     BuildError,
 )
@@ -80,6 +81,26 @@
     reads_base = writes_base = 7
 
 
+class TestNamelessBuild(LandedBuildCase, unittest.TestCase):
+    """A build whose withdrawals don't name the incarnation of the backend server."""
+
+    commit = NAMELESS_COMMIT
+    reads_base = writes_base = 7
+
+    def test_withdrawals(self):
+        for writer, reader in (("landed", "present"), ("present", "landed")):
+            with self.subTest(writer=writer, reader=reader):
+                found = self.exchange(writer, "withdrawal", reader, "withdraw")
+                self.assertEqual(found, "7 [] ['i-2'] ['i-1']")
+
+    def test_both_apply_the_same_log(self):
+        """Guards against replicas that differ while builds run side by side."""
+        path = self.folder / "log"
+        path.write_bytes(self.run_build("present", "log"))
+        found = {self.run_build(name, "replay", str(path)) for name in self.builds}
+        self.assertEqual(len(found), 1)
+
+
 class TestKeylessBuild(LandedBuildCase, unittest.TestCase):
     """A build without workspaces must not serve the routes of a plan with them."""
 
