No request begins at a backend server that says it is leaving

Callers saw: orders ended with 502 after they had run, when a backend server ended that had said in its responses that it was leaving.

Cause: nothing read the header. An instance learned only from control that a backend server leaves, and one that can't reach control ends without that.

Change: the header is read from each response of a backend server, with any status, except from a 421. The incarnation is marked and gets no new, queued, retried or permitted request of this instance, whatever control says later. An instance behind a hop names the backend server to the instance that took the request. What heads report moved to a module of its own.

Why it works: the mark is set when the head is read, before the response is passed on, and each way to choose a backend server goes by the same table.

Old builds ignore the new header between instances.

--- a/packages/snipebay-node/src/snipebay_node/active_requests.py
+++ b/packages/snipebay-node/src/snipebay_node/active_requests.py
@@ -12,6 +12,7 @@
     Attributes:
         status: HTTP status.
         headers: Pairs of name and value, as bytes.
+        leaving_backend: Row of the backend server if it says that it is leaving.
         buffered: Body bytes received but not yet relayed.
         is_reported: True once the core was informed of the response.
         discarded_bytes: Body bytes received after the caller had left.
@@ -19,6 +20,7 @@
 
     status: int
     headers: list
+    leaving_backend: object = None
     buffered: bytearray = attrs.Factory(bytearray)
     is_reported: bool = False
     discarded_bytes: int = 0
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -16,6 +16,7 @@
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.hop_headers import next_hop_headers, strip_hop_headers
 from snipebay_node.log_sink import RequestLog
+from snipebay_node.response_reports import ResponseReports
 from snipebay_node.upstream import (
     MISDIRECTED_REQUEST,
     UpstreamPool,
@@ -55,6 +56,7 @@
         self.pool = UpstreamPool(
             hub, clock, self, self.header_names, core.forward.on_connected
         )
+        self._reports = ResponseReports(core.forward, self.header_names, clock)
         self._active = {}
         self._attempts = {}
         self._responses = {}
@@ -186,14 +188,25 @@
         if request is None or response is None:
             return
         request.relayed_attempt_id = action.attempt_id
-        headers = strip_hop_headers(response.headers)
-        if not self._attempts[action.attempt_id].is_hop:
-            # Instances trust this header of each other, so only they may set it.
-            headers = [h for h in headers if h[0] != self.header_names.outcome]
+        headers = self._headers_to_caller(request.exchange, action, response)
         request.exchange.start(response.status, headers)
         request.exchange.write(bytes(response.buffered))
         response.buffered.clear()
 
+    def _headers_to_caller(self, exchange, action, response):
+        """Return the headers of a response that go to the caller or instance."""
+        names = self.header_names
+        # Instances trust these headers of each other, so only they may set them.
+        excluded = [names.leaving_backend]
+        excluded += [] if self._attempts[action.attempt_id].is_hop else [names.outcome]
+        headers = [
+            row for row in strip_hop_headers(response.headers) if row[0] not in excluded
+        ]
+        if response.leaving_backend and exchange.header(names.hop.decode()):
+            value = response_headers.format_backend(response.leaving_backend)
+            headers.append((names.leaving_backend, value))
+        return headers
+
     def _problem(self, action):
         request = self._active.pop(action.request_id, None)
         if request is None:
@@ -228,9 +241,10 @@
         return self.core.forward.may_write(attempt_id, self.clock())
 
     def on_head(self, attempt_id, status, headers):
-        self._responses[attempt_id] = Response(status, headers)
-        self._report_load(attempt_id, dict(headers))
-        self._report_rate_limit(attempt_id, headers)
+        attempt = self._attempts.get(attempt_id)
+        is_hop = attempt is not None and attempt.is_hop
+        leaving = self._reports.report(attempt_id, headers, is_hop=is_hop)
+        self._responses[attempt_id] = Response(status, headers, leaving)
 
     def on_data(self, attempt_id, data):
         response = self._responses.get(attempt_id)
@@ -277,9 +291,12 @@
 
     def on_not_run(self, attempt_id, status, headers):
         is_misdirected = status == MISDIRECTED_REQUEST
-        self._report_load(attempt_id, dict(headers))
-        if not is_misdirected:
-            self._report_rate_limit(attempt_id, headers)
+        attempt = self._attempts.get(attempt_id)
+        if is_misdirected:
+            # Another backend server wrote it.
+            self._reports.report_load(attempt_id, headers)
+        elif attempt is not None:
+            self._reports.report(attempt_id, headers, is_hop=attempt.is_hop)
         reason = f"the backend server refused it with {status}"
         self._log_failed_attempt(self._end_attempt(attempt_id, "not_run"), reason)
         self.core.forward.on_rejection(
@@ -312,25 +329,6 @@
             self.core.forward.on_response(attempt_id, response.status, self.clock())
             self.run_actions()
 
-    def _report_load(self, attempt_id, headers):
-        """Pass the load and pace that a backend server reports to the core."""
-        value = headers.get(self.header_names.load, b"")
-        load = response_headers.parse_load(value)
-        if load is not None:
-            pace = response_headers.parse_pace(value)
-            self.core.forward.on_load_report(attempt_id, *load, self.clock(), pace)
-
-    def _report_rate_limit(self, attempt_id, headers):
-        """Pass the rate limit that a backend server named, or did not, to the core."""
-        values = [v for name, v in headers if name == self.header_names.rate_limit]
-        try:
-            per_s = response_headers.parse_rate_limit(values)
-        except ValueError as exc:
-            # The limit named before stays in force.
-            self.core.forward.on_invalid_rate_limit(attempt_id, str(exc))
-            return
-        self.core.forward.on_rate_limit(attempt_id, per_s, self.clock())
-
     def _resume_reading(self, key):
         request = self._active.get(key)
         if request is not None and request.relayed_attempt_id:
--- a/packages/snipebay-node/src/snipebay_node/header_names.py
+++ b/packages/snipebay-node/src/snipebay_node/header_names.py
@@ -17,9 +17,12 @@
         load: Response header: requests running, requests waiting, and slots.
         rate_limit: Response header: requests per second that the backend server takes
             from all instances together.
+        leaving: Response header with the value 1: the backend server is leaving.
         hop: Attempts before a hop between entry instances; its presence forbids a
             second hop.
         outcome: Response header of an entry instance's own problems.
+        leaving_backend: Response header between entry instances: start time and id of
+            the backend server that is leaving.
         credential: Key of the workspace that a request belongs to. While the plan has
             workspaces, it goes to no backend server.
         workspace: Name of the workspace, which backend servers receive in its place.
@@ -32,8 +35,10 @@
     not_run: bytes = b"snipebay-shed"
     load: bytes = b""
     rate_limit: bytes = b"snipebay-rate-limit"
+    leaving: bytes = b"snipebay-leaving"
     hop: bytes = b"snipebay-hop"
     outcome: bytes = b"snipebay-outcome"
+    leaving_backend: bytes = b"snipebay-leaving-backend"
     credential: bytes = b"snipebay-key"
     workspace: bytes = b"snipebay-workspace"
     affinity: str = ""
--- a/packages/snipebay-node/src/snipebay_node/response_headers.py
+++ b/packages/snipebay-node/src/snipebay_node/response_headers.py
@@ -1,6 +1,16 @@
 """Reads what backend servers say in the headers of their responses."""
 
-__all__ = ["parse_load", "parse_pace", "parse_rate_limit", "parse_retry_after"]
+import urllib.parse
+
+__all__ = [
+    "format_backend",
+    "is_leaving",
+    "parse_backend",
+    "parse_load",
+    "parse_pace",
+    "parse_rate_limit",
+    "parse_retry_after",
+]
 
 # Longer values are no sensible decimal number.
 MAX_VALUE_BYTES = 64
@@ -10,6 +20,28 @@
 MAX_PACE_PERCENT = 10_000
 
 
+def is_leaving(values):
+    """Return True if any value of the header says that the backend server is leaving.
+
+    Args:
+        values: The values of the header, as bytes.
+    """
+    return any(value.strip() == b"1" for value in values)
+
+
+def format_backend(row):
+    """Return the start time and the id of a backend server as one header value."""
+    return f"{row.born_ms} {urllib.parse.quote(row.backend_id, safe='')}".encode()
+
+
+def parse_backend(value):
+    """Return id and start time in such a value, None if it is unusable."""
+    born_ms, _, backend_id = value.partition(b" ")
+    if not born_ms.isdigit() or len(born_ms) > MAX_VALUE_BYTES or not backend_id:
+        return None
+    return urllib.parse.unquote(backend_id.decode("latin-1")), int(born_ms)
+
+
 def parse_rate_limit(values):
     """Return the requests per second in the values of a header, or None without one.
 
--- a/packages/snipebay-node/tests/test_proxy.py
+++ b/packages/snipebay-node/tests/test_proxy.py
@@ -37,6 +37,14 @@
         self.hub.streams[0].on_data(SHED)
         self.core.requests.on_rejection.assert_called_once_with(1, 0.0)
 
+    def test_backend_server_that_says_it_is_leaving(self):
+        """Guards against requests that are lost when their backend server ends."""
+        stream = self.hub.streams[0]
+        stream.on_data(
+            RESPONSE.replace(b"\r\n\r\n", b"\r\nSnipebay-Leaving: 1\r\n\r\n")
+        )
+        self.core.requests.on_leaving.assert_called_once_with(1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
+++ b/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
@@ -27,6 +27,37 @@
             self.ctx.load_exchange.record(row.attempt.member)
             self.ctx.fleet.near_domains.is_enabled = True
 
+    def on_leaving(self, attempt_id):
+        """Stop using a backend server that says in a response that it is leaving.
+
+        Returns:
+            Its :class:`BackendRow`, or None if the attempt has ended.
+        """
+        row = self._row_at_backend(attempt_id)
+        if row is None:
+            return None
+        backend = row.attempt.member.row
+        self._mark_leaving(backend, "")
+        return backend
+
+    def on_leaving_behind_hop(self, attempt_id, backend_id, born_ms):
+        """Do the same for one whose response came through another instance."""
+        row = self.queue.rows_by_attempt.get(attempt_id)
+        member = self.ctx.fleet.members.get(backend_id)
+        if row is None or not row.attempt.is_hop or member is None:
+            return
+        if member.row.born_ms == born_ms:
+            self._mark_leaving(member.row, row.attempt.member.row.backend_id)
+
+    def _mark_leaving(self, backend, through):
+        if self.ctx.fleet.mark_leaving(backend):
+            self.ctx.record_event(
+                "backend server says it is leaving",
+                backend.backend_id,
+                service=backend.service,
+                through=through,
+            )
+
     def on_connected(self, address, elapsed_s):
         """Record how long it took to open a connection to a backend server."""
         self.ctx.fleet.near_domains.record_connect(address, elapsed_s)
--- a/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
+++ b/packages/snipebay-policy/src/snipebay_policy/dispatch_queue.py
@@ -190,7 +190,12 @@
         if row.request_id not in self.waiting.get(row.service, {}):
             # Its caller has left, or its deadline has passed.
             return
-        if permission is Permission.GRANTED and not self.ctx.reach.is_isolated:
+        is_usable = self.ctx.fleet.is_current(choice.member)
+        if (
+            permission is Permission.GRANTED
+            and is_usable
+            and not self.ctx.reach.is_isolated
+        ):
             self._dispatch(row, choice, now_s)
         else:
             self.dispatch_waiting(row.service, now_s)
--- a/packages/snipebay-policy/src/snipebay_policy/fleet.py
+++ b/packages/snipebay-policy/src/snipebay_policy/fleet.py
@@ -13,6 +13,7 @@
 from snipebay_policy.balancing.near_domains import NearDomains
 from snipebay_policy.balancing.popularity import KeyPopularity, KeySpread
 from snipebay_policy.fleet_rows import Choice, FleetCounts, FleetTiming, Member
+from snipebay_policy.leaving_backends import LeavingBackends
 from snipebay_policy.member_index import MemberIndex
 from snipebay_policy.service_times import MIN_STALL_S, OTHER, PRIMARY, SECONDARY
 from snipebay_policy.slot_assignment import rendezvous_rank
@@ -39,6 +40,7 @@
         affinity: :class:`AffinityTable` by service.
         tiers: Affinity tiers of the members.
         popularity: :class:`KeyPopularity` by service and region.
+        leaving: Backend servers that said in a response that they are leaving.
         near_domains: Failure domains that share primaries with this instance's own.
         rate_shares: Share of its full rate that a member may use, by id of those with
             a rate limit.
@@ -58,6 +60,7 @@
         self._ranked_entries = {}
         self.affinity = {}
         self.rate_shares = {}
+        self.leaving = LeavingBackends()
         self.tiers = AffinityTiers(domain)
         self.near_domains = NearDomains(domain, region)
         self.popularity = {}
@@ -78,6 +81,7 @@
         self._entries = tuple(r.entry_id for r in view.entries if not r.leaving)
         self._ranked_entries.clear()
         self.near_domains.apply_view(view.backends)
+        self.leaving.apply_view(view.backends)
         self._update_index()
 
     def _update_index(self):
@@ -89,6 +93,18 @@
         member.is_stale = True
         self._update_index()
 
+    def mark_leaving(self, row):
+        """Stop using an incarnation that is leaving; return True if that is news."""
+        is_new = self.leaving.add(row)
+        if is_new:
+            self._update_index()
+        return is_new
+
+    def is_current(self, member):
+        """Return True while requests may begin at a member that was chosen before."""
+        known = self.members.get(member.row.backend_id)
+        return known is member and self._is_open(member)
+
     def open_rows(self):
         """Return the rows of the members that may get requests, by failures or not."""
         return [m.row for m in self.members.values() if self._is_open(m)]
@@ -311,7 +327,8 @@
     def _is_open(self, member):
         row = member.row
         is_evacuated = row.domain in self._evacuated
-        return row.is_open and not member.is_stale and not is_evacuated
+        is_closed = member.is_stale or is_evacuated or row in self.leaving
+        return row.is_open and not is_closed
 
     def _may_send_cold(self, member, cold_per_s, now_s):
         """Return True for a warm member, or a cold one that may get a request now."""
--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -134,6 +134,17 @@
         if backend is not None:
             self.ctx.slot_limits.table.record(backend, per_s, now_s)
 
+    def on_leaving(self, attempt_id):
+        """Stop using a backend server that says in a response that it is leaving.
+
+        Its next announcement, or a newer row in the view, decides again.
+        """
+        row = self._rows_by_attempt.get(attempt_id)
+        backend_id = self._backend_id(row, attempt_id)
+        if self.ctx.is_open(backend_id):
+            self.ctx.leaving[backend_id] = self.ctx.view.revision
+            self.ctx.record_event("backend server says it is leaving", backend_id)
+
     def on_invalid_rate_limit(self, attempt_id, detail):
         """Log a rate limit that can't be read."""
         row = self._rows_by_attempt.get(attempt_id)
--- a/packages/snipebay-policy/tests/test_entry_core.py
+++ b/packages/snipebay-policy/tests/test_entry_core.py
@@ -101,6 +101,14 @@
         (second,) = self.actions()
         self.assertNotEqual(first.backend, second.backend)
 
+    def test_backend_server_that_says_it_is_leaving_gets_no_more_requests(self):
+        """Guards against requests that are lost when their backend server ends."""
+        (first,) = self.arrive()
+        self.core.requests.on_leaving(first.attempt_id)
+        targets = {a.backend for n in range(2, 8) for a in self.arrive(n)}
+        self.assertEqual(len(targets), 1)
+        self.assertNotIn(first.backend, targets)
+
     def test_write_waits_for_its_claim(self):
         self.assertEqual(self.arrive(service="write", key="k"), [])
         (dispatch,) = self.grant(1)
