A new leader names itself to instances that have not asked it

Callers saw: 404 by an older version at some instances, 2.6 to 3.6 s after a change was acknowledged, when control had changed its leader.

Cause: a new leader pushes changes only to instances that have asked it. An instance kept to the old leader for two intervals, then asked one control instance an interval; each that did not answer cost another one.

Change: a leader sends its name to instances that have not asked it, every 0.5 s; they turn to it with their next renewal. Older builds understand the message. A leader without a quorum that goes on naming itself doesn't count.

Why it works: every instance knows whom to ask within a message's delay, and renewals are at most 0.9 s apart.

--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -95,7 +95,7 @@
         self._key_counts = ()
         self._next_key_count_s = 0.0
         self._lease_settings_revision = 0
-        self._next_clock_s = 0.0
+        self._next_clock_s = self._next_announcement_s = 0.0
         self.applied_index = self.raft.commit_index
         self._delayed = DelayedCommands(self.applied_index, self.state)
         self._applied_bytes = 0
@@ -155,6 +155,7 @@
         self.joining.change_members()
         self._push_updates()
         if self._may_serve:
+            self._announce_leadership()
             for sender, msg in self._waiting_renewals.pop(now_s):
                 self._on_renew(sender, msg)
 
@@ -226,7 +227,7 @@
         self._settled_by_region = {}
         self._drained = ()
         self._key_counts = ()
-        self._next_clock_s = 0.0
+        self._next_clock_s = self._next_announcement_s = 0.0
         self.rate_limits.start(self.raft.term)
         self.credits.start(self._now_s)
         self.sessions.start(self.state, self._now_s)
--- a/packages/snipebay-control/src/snipebay_control/entry_replies.py
+++ b/packages/snipebay-control/src/snipebay_control/entry_replies.py
@@ -7,6 +7,9 @@
 
 # An instance that asked a control instance which doesn't lead asks again after this.
 NOT_LEADER_DUE_MS = 200
+# A new leader names itself this often to instances that have not asked it yet. Messages
+# on a connection that has just failed are lost.
+ANNOUNCEMENT_INTERVAL_S = 0.5
 
 
 class EntryReplies:
@@ -124,6 +127,20 @@
             self._settled_by_region[region] = self.sessions.settled(self.state, region)
         return self._settled_by_region[region]
 
+    def _announce_leadership(self):
+        """Name this leader to the entry instances that have not asked it yet.
+
+        Changes are pushed only to those that have asked, since the revision that others
+        have is not known. Without this, an instance asks one control instance after the
+        other, and each that doesn't answer costs it an interval.
+        """
+        if self._now_s < self._next_announcement_s:
+            return
+        self._next_announcement_s = self._now_s + ANNOUNCEMENT_INTERVAL_S
+        reply = RenewReply(self.leader_id, granted=False, controls=self.controls)
+        reported = self.sessions.reports
+        self._outbox += [(i, reply) for i in self.state.entries if i not in reported]
+
     def _push_updates(self):
         """Send changes to entry instances without waiting for their next renewal."""
         state, now_s = self.state, self._now_s
--- a/packages/snipebay-policy/src/snipebay_policy/commands.py
+++ b/packages/snipebay-policy/src/snipebay_policy/commands.py
@@ -1,6 +1,7 @@
 """Sends commands to the control leader and follows changes of leadership."""
 
 import itertools
+import math
 
 import attrs
 from snipebay_model.codec import encode_body
@@ -35,12 +36,17 @@
     Args:
         ctx: Shared state of this entry instance.
         controls: Ids of the control instances.
+
+    Attributes:
+        leader: Id of the leader, empty while it is unknown.
+        leader_heard_s: When a control instance last named itself as a new leader.
     """
 
     def __init__(self, ctx, controls):
         self.ctx = ctx
         self.controls = tuple(controls)
         self.leader = ""
+        self.leader_heard_s = -math.inf
         self.now_s = 0.0
         self._pending = {}
         self._ids = itertools.count(1)
@@ -97,6 +103,21 @@
         if pending.callback is not None:
             pending.callback(msg.outcome, now_s)
 
+    def record_leader(self, leader, sender, now_s):
+        """Record which leader a control instance names, empty for none.
+
+        Args:
+            leader: Id of the leader.
+            sender: Id or node name of the control instance.
+            now_s: Time.
+        """
+        if not leader:
+            return
+        # One that has lost its quorum goes on naming itself for a while.
+        if leader != self.leader and sender.partition("#")[0] == leader:
+            self.leader_heard_s = now_s
+        self.leader = leader
+
     def clear_leader(self):
         """Clear the known leader, so that control instances are tried in turn."""
         self.leader = ""
--- a/packages/snipebay-policy/src/snipebay_policy/entry.py
+++ b/packages/snipebay-policy/src/snipebay_policy/entry.py
@@ -115,7 +115,8 @@
 
     def _send_renewal(self, now_s):
         self._next_renew_s = now_s + self.cfg.renew_interval_s
-        if now_s - self._last_reply_s > 2 * self.cfg.renew_interval_s:
+        heard_s = max(self._last_reply_s, self.commands.leader_heard_s)
+        if now_s - heard_s > 2 * self.cfg.renew_interval_s:
             self.commands.clear_leader()
         rows = self.ctx.backends
         busy = {
@@ -139,8 +140,7 @@
         self.ctx.queue_action(Send(self.commands.target(), report))
 
     def _on_renew_reply(self, sender, msg, now_s):
-        if msg.leader:
-            self.commands.leader = msg.leader
+        self.commands.record_leader(msg.leader, sender, now_s)
         if msg.quorum_revision == 0:
             return
         self._last_reply_s = now_s
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -239,7 +239,8 @@
         self._next_renew_s = now_s + (
             self.cfg.startup_renew_interval_s if is_starting else interval_s
         )
-        if now_s - self._confirmed_s > 2 * interval_s:
+        heard_s = max(self._confirmed_s, self.commands.leader_heard_s)
+        if now_s - heard_s > 2 * interval_s:
             self.commands.clear_leader()
         self._may_redirect = True
         for target in self.commands.targets(STARTUP_TARGETS if is_starting else 1):
@@ -285,10 +286,10 @@
     def _on_renew_reply(self, sender, msg, now_s):
         if msg.controls:
             self.commands.controls = tuple(dict.fromkeys((*msg.controls, *self._seeds)))
-        if msg.leader:
-            self.commands.leader = msg.leader
+        self.commands.record_leader(msg.leader, sender, now_s)
         if msg.quorum_revision == 0:
-            if msg.leader not in ("", sender) and self._may_redirect:
+            is_sender = sender.partition("#")[0] == msg.leader
+            if msg.leader and not is_sender and self._may_redirect:
                 # The leader may not be among the known control instances. One redirect
                 # for each renewal: a leader that lost its quorum names itself.
                 self._may_redirect = False
--- a/packages/snipebay-policy/tests/test_control_discovery.py
+++ b/packages/snipebay-policy/tests/test_control_discovery.py
@@ -45,3 +45,19 @@
         for step in range(40):
             self.core.tick(5.0 + step * 0.025)
         self.assertGreaterEqual(len(self.targets()), 5)
+
+    def test_new_leader_that_names_itself_is_contacted(self):
+        self.core.tick(60.0)
+        self.targets()
+        self.core.receive("c9#a", RenewReply("c9", False), 60.1)
+        self.core.tick(60.7)
+        self.assertEqual(self.targets(), ["c9"])
+
+    def test_leader_that_only_names_itself_is_dropped(self):
+        """It has lost its quorum and answers nothing."""
+        contacted = set()
+        for step in range(8):
+            self.core.receive("c9", RenewReply("c9", False), 60.0 + step * 0.5)
+            self.core.tick(60.1 + step * 0.5)
+            contacted.update(self.targets())
+        self.assertIn("c1", contacted)
--- a/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/routed_rig.py
@@ -314,22 +314,23 @@
         backends: Number of backend servers, spread likewise.
         seed: Random seed.
         revoke_s: Time for the revocation of a key, None if it is not bounded.
+        controls: Number of control instances.
 
     Attributes:
         runs: How often each request was started by a backend server, by its id at
             the first instance.
     """
 
-    def __init__(self, entries, backends, seed, revoke_s=None):
+    def __init__(self, entries, backends, seed, revoke_s=None, controls=3):
         self.revoke_s = revoke_s
-        ids = ("c1", "c2", "c3")
+        ids = tuple(f"c{number + 1}" for number in range(controls))
         leases = LeaseTiming(
             completion_grace_s=0.0,
             backend_lease_s=BACKEND_LEASE_S,
             needs_live_peer=False,
         )
         cfg = ControlConfig("", ids, leases=leases)
-        self.control = ControlRig(seed, 3, cfg=cfg)
+        self.control = ControlRig(seed, controls, cfg=cfg)
         self.scheduler = self.control.scheduler
         self.network = self.control.network
         self.rng = self.control.rng
