A long response that is broken off cuts no other request

Callers saw: responses of sound backend servers never delivered, when a long response before or behind them on the connection was broken off.

Cause: a response above 64 KiB was relayed as it arrived, also while others were in progress on its connection, and also before it was due. Once begun, a broken one can only end with the connection.

Change: a long response that is not due is left unread; one that is due while others are in progress is held up to 1 MiB while there is memory. Nothing is dispatched behind a response that is streamed. The time that a request waits behind others is taken off its deadline; before, it was handed on in full.

Why it works: until the first byte of a response goes to the caller, a broken one can still be retried or answered with an error, and the connection stays.

Single requests and responses up to 64 KiB take the same way as before.

--- a/packages/snipebay-node/src/snipebay_node/active_requests.py
+++ b/packages/snipebay-node/src/snipebay_node/active_requests.py
@@ -35,6 +35,7 @@
         request_id: Request id sent by the caller, or empty.
         arrived_s: Time of arrival.
         relayed_attempt_id: Id of the attempt whose response is relayed, or 0.
+        long_attempt_id: Id of the last attempt with a long response, or 0.
         decision: Inputs of the last routing decision, for logs and metrics.
     """
 
@@ -42,6 +43,7 @@
     request_id: str
     arrived_s: float
     relayed_attempt_id: int = 0
+    long_attempt_id: int = 0
     decision: dict = attrs.Factory(dict)
 
     @property
--- a/packages/snipebay-node/src/snipebay_node/caller_headers.py
+++ b/packages/snipebay-node/src/snipebay_node/caller_headers.py
@@ -29,6 +29,7 @@
         _single_value(exchange, header_names.credential),
         int(hop) if _is_number(hop, MAX_HOP_DIGITS) else None,
         exchange.stream.peer.rpartition(":")[0],
+        exchange.waited_s,
     )
 
 
--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -68,6 +68,7 @@
         on_disconnect: Called when the caller disconnects before the response ends.
         on_writable: Called when the response is no longer congested.
         is_complete: True once the entire request has been received.
+        completed_s: When that was.
         is_handled: True once the request was passed to the application.
         is_started: True once the response head was sent or queued.
         is_done: True once the response has ended, or was aborted by either side.
@@ -93,6 +94,7 @@
         self.on_disconnect = None
         self.on_writable = None
         self.is_complete = False
+        self.completed_s = 0.0
         self.is_handled = False
         self.is_started = False
         self.is_done = False
@@ -122,6 +124,29 @@
     def stream(self):
         return self.connection.stream
 
+    @property
+    def waited_s(self):
+        """Time for which the complete request has waited behind others."""
+        return self.connection.server.clock() - self.completed_s
+
+    @property
+    def is_due(self):
+        """True once the responses to all earlier requests have been sent."""
+        pipeline = self.connection.pipeline
+        return bool(pipeline) and pipeline[0] is self
+
+    @property
+    def has_others(self):
+        """True while other requests of the connection are in progress."""
+        return any(
+            other.is_handled for other in self.connection.pipeline if other is not self
+        )
+
+    @property
+    def has_memory(self):
+        """True while the process has memory to hold more than it has to."""
+        return self.connection.server.budget.free_bytes > 0
+
     @property
     def is_congested(self):
         """True while no more of the response should be produced.
--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -14,7 +14,7 @@
 from snipebay_node.active_requests import ActiveRequest, Attempt, Response
 from snipebay_node.caller_headers import read_arrival
 from snipebay_node.header_names import HeaderNames
-from snipebay_node.hop_headers import next_hop_headers, strip_hop_headers
+from snipebay_node.hop_headers import relayed_headers, request_headers
 from snipebay_node.log_sink import RequestLog
 from snipebay_node.response_reports import ResponseReports
 from snipebay_node.upstream import (
@@ -28,6 +28,9 @@
 # A response up to this size is relayed once it is complete, so that the request can
 # be retried if the response is truncated. A larger response is streamed.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
+# The same while other requests of the connection are in progress, which would be cut
+# together with a streamed response.
+MAX_HELD_RESPONSE_BYTES = 1024 * 1024
 # A response up to about this size is read to its end after its caller has left, so that
 # a backend server can complete a request that must not be cancelled.
 MAX_DISCARDED_RESPONSE_BYTES = 1024 * 1024
@@ -110,6 +113,7 @@
     def _on_disconnect(self, key):
         request = self._active.pop(key, None)
         if request is not None:
+            self.pool.set_paused(request.long_attempt_id, False)
             self._record_end(request, "caller gone", reason="caller_gone")
             self.core.forward.on_caller_disconnect(key, self.clock())
             self.run_actions()
@@ -139,7 +143,13 @@
                 action.backend.address,
                 exchange.method,
                 exchange.target,
-                self._headers(exchange, action, remaining_ms),
+                request_headers(
+                    exchange,
+                    action,
+                    remaining_ms,
+                    self.header_names,
+                    hides_credential=bool(self.core.workspaces),
+                ),
                 exchange.body,
                 request.request_id.encode("latin-1"),
                 is_hop=is_hop,
@@ -154,27 +164,6 @@
         self.core.forward.on_probe(is_connected, self.clock())
         self.run_actions()
 
-    def _headers(self, exchange, action, remaining_ms):
-        """Return the headers that go to the backend server or entry instance."""
-        header_names = self.header_names
-        replaced = [header_names.deadline_ms, header_names.target, header_names.hop]
-        is_hop = action.attempts_before_hop is not None
-        if self.core.workspaces:
-            # Another instance checks the key itself; a backend server never gets it.
-            replaced += [header_names.workspace]
-            replaced += [] if is_hop else [header_names.credential]
-        headers = next_hop_headers(exchange, replaced)
-        headers.append((header_names.deadline_ms, str(remaining_ms).encode()))
-        if is_hop:
-            hop = str(action.attempts_before_hop).encode()
-            headers.append((header_names.hop, hop))
-            return headers
-        if header_names.target:
-            headers.append((header_names.target, action.backend.backend_id.encode()))
-        if action.workspace:
-            headers.append((header_names.workspace, action.workspace.encode()))
-        return headers
-
     def _cancel(self, action):
         self.pool.cancel(action.attempt_id)
         request_id = self._end_attempt(action.attempt_id, "cancelled")
@@ -188,25 +177,16 @@
         if request is None or response is None:
             return
         request.relayed_attempt_id = action.attempt_id
-        headers = self._headers_to_caller(request.exchange, action, response)
+        headers = relayed_headers(
+            response,
+            self.header_names,
+            from_instance=self._attempts[action.attempt_id].is_hop,
+            to_instance=bool(request.exchange.header(self.header_names.hop.decode())),
+        )
         request.exchange.start(response.status, headers)
         request.exchange.write(bytes(response.buffered))
         response.buffered.clear()
 
-    def _headers_to_caller(self, exchange, action, response):
-        """Return the headers of a response that go to the caller or instance."""
-        names = self.header_names
-        # Instances trust these headers of each other, so only they may set them.
-        excluded = [names.leaving_backend]
-        excluded += [] if self._attempts[action.attempt_id].is_hop else [names.outcome]
-        headers = [
-            row for row in strip_hop_headers(response.headers) if row[0] not in excluded
-        ]
-        if response.leaving_backend and exchange.header(names.hop.decode()):
-            value = response_headers.format_backend(response.leaving_backend)
-            headers.append((names.leaving_backend, value))
-        return headers
-
     def _problem(self, action):
         request = self._active.pop(action.request_id, None)
         if request is None:
@@ -262,7 +242,23 @@
             return
         response.buffered += data
         if len(response.buffered) > MAX_BUFFERED_RESPONSE_BYTES:
+            self._on_long_response(attempt_id, request, response)
+
+    def _on_long_response(self, attempt_id, request, response):
+        """Relay a long response as it arrives, unless that may cut other requests.
+
+        If it is broken off, the connection of the caller closes, and with it go
+        earlier requests, and later ones that were dispatched.
+        """
+        exchange = request.exchange
+        request.long_attempt_id = attempt_id
+        is_small = len(response.buffered) <= MAX_HELD_RESPONSE_BYTES
+        if not exchange.is_due:
+            self.pool.set_paused(attempt_id, True)
+        elif not (is_small and exchange.has_others and exchange.has_memory):
             self._report_response(attempt_id, response)
+            return
+        self.core.forward.on_arriving(attempt_id, self.clock())
 
     def _discard(self, attempt_id, response, data):
         """Discard a part of a body whose caller has left.
@@ -330,9 +326,15 @@
             self.run_actions()
 
     def _resume_reading(self, key):
+        """Read on for a caller that reads again, or whose response is due now."""
         request = self._active.get(key)
-        if request is not None and request.relayed_attempt_id:
+        if request is None:
+            return
+        if request.relayed_attempt_id:
             self.pool.set_paused(request.relayed_attempt_id, False)
+        elif response := self._responses.get(request.long_attempt_id):
+            self.pool.set_paused(request.long_attempt_id, False)
+            self._on_long_response(request.long_attempt_id, request, response)
 
     def _abort_relayed(self, request_id, attempt_id, outcome, reason):
         """Close the caller's connection if a response ends before it is complete."""
--- a/packages/snipebay-node/src/snipebay_node/http_connection.py
+++ b/packages/snipebay-node/src/snipebay_node/http_connection.py
@@ -40,6 +40,7 @@
             entries before it accepts a connection that has waited in its kernel.
         announced: Id and start time of the backend server that the caller announced
             last on this connection, empty and 0 before.
+        pipeline: Exchanges whose responses have not ended, in the order of arrival.
         active_s: Time of the last input or accept.
         is_deferred: True while input waits until other connections had their turn.
     """
@@ -51,7 +52,7 @@
         self.announced = "", 0
         self._parser = self._new_parser()
         self._receiving = None
-        self._pipeline = collections.deque()
+        self.pipeline = collections.deque()
         self._rejection = b""
         self._is_input_ended = False
         self._is_parsing = False
@@ -75,9 +76,9 @@
             self.stream.abort()
             return
         self.active_s = self.server.clock()
-        if len(self._pipeline) >= MAX_PIPELINED_REQUESTS:
+        if len(self.pipeline) >= MAX_PIPELINED_REQUESTS:
             self.stream.pause()
-        if not self._pipeline and self._receiving is None and self._is_input_empty:
+        if not self.pipeline and self._receiving is None and self._is_input_empty:
             self.set_deadline(self.server.limits().head_timeout_s)
         try:
             self._parser.receive_data(data)
@@ -94,7 +95,7 @@
     def _on_closed(self):
         self.server.connections.discard(self)
         self.server.budget.hold(-CONNECTION_BYTES)
-        for exchange in list(self._pipeline):
+        for exchange in list(self.pipeline):
             exchange.forget_head()
             exchange.handle_disconnect()
         if self._receiving is not None:
@@ -131,7 +132,7 @@
 
     @property
     def _may_parse(self):
-        has_capacity = len(self._pipeline) < MAX_PIPELINED_REQUESTS
+        has_capacity = len(self.pipeline) < MAX_PIPELINED_REQUESTS
         is_accepting = not self._is_input_ended and not self._is_waiting
         return self.stream.is_open and is_accepting and has_capacity
 
@@ -166,7 +167,7 @@
 
     def _send_continue(self):
         expects_continue = self._parser.they_are_waiting_for_100_continue
-        is_first = bool(self._pipeline) and self._pipeline[0] is self._receiving
+        is_first = bool(self.pipeline) and self.pipeline[0] is self._receiving
         if expects_continue and is_first:
             informational = h11.InformationalResponse(status_code=100, headers=[])
             self.stream.write(self._parser.send(informational))
@@ -187,9 +188,9 @@
             self.reject(400, detail)
             return
         self.set_deadline(BODY_TIMEOUT_S)
-        if self._pipeline or len(exchange.headers) > USUAL_HEADERS:
+        if self.pipeline or len(exchange.headers) > USUAL_HEADERS:
             exchange.hold_head()
-        self._pipeline.append(exchange)
+        self.pipeline.append(exchange)
         if exchange.head_bytes and self.server.budget.free_bytes < 0:
             self.server.budget.rejected["no_room"] += 1
             self.reject(503, "no room for the request now", "no_room")
@@ -203,6 +204,7 @@
         """Dispatch a complete request and start parsing the next one."""
         exchange, self._receiving = self._receiving, None
         exchange.is_complete = True
+        exchange.completed_s = self.server.clock()
         self._intake.end()
         self.set_deadline(None)
         if self._parser.their_state is h11.DONE:
@@ -220,13 +222,18 @@
         """Pass the requests that may run concurrently to the application.
 
         Safe requests run alongside earlier safe ones; any other request waits
-        until the responses to all earlier requests have ended.
+        until the responses to all earlier requests have ended. So does one behind a
+        response that is being streamed: if that is broken off, the connection closes.
         """
-        for i, exchange in enumerate(list(self._pipeline)):
+        is_streaming = False
+        for i, exchange in enumerate(list(self.pipeline)):
             if not exchange.is_complete:
                 return
             if i and not exchange.is_safe:
                 return
+            if is_streaming and not exchange.is_handled:
+                return
+            is_streaming |= exchange.is_started and not exchange.is_done
             if not exchange.is_handled and not exchange.is_done:
                 exchange.is_handled = True
                 self.server.app.handle(exchange)
@@ -237,7 +244,7 @@
 
     def send(self, exchange, event):
         """Send an HTTP event of a response, or hold it until earlier ones are sent."""
-        if self._pipeline and self._pipeline[0] is exchange:
+        if exchange.is_due:
             self._write(exchange, event)
         else:
             exchange.held_events.append(event)
@@ -275,8 +282,8 @@
 
     def _notify_writable(self):
         """Let the response that is due continue."""
-        if self._pipeline and self._pipeline[0].on_writable is not None:
-            self._pipeline[0].on_writable()
+        if self.pipeline and self.pipeline[0].on_writable is not None:
+            self.pipeline[0].on_writable()
 
     def _is_final_response(self, exchange):
         """Return True for the last response before the connection closes.
@@ -285,7 +292,7 @@
         request behind it. It is decided when the response is written: while it is
         held, further requests may arrive and be dispatched, which the close would cut.
         """
-        is_newest = self._pipeline[-1] is exchange and not self._rejection
+        is_newest = self.pipeline[-1] is exchange and not self._rejection
         may_close = self.server.is_stopping or exchange.closes_connection
         if not may_close or not is_newest:
             return False
@@ -293,20 +300,20 @@
 
     def finish_response(self, exchange):
         """Continue with the next request, or close the connection."""
-        if not self._pipeline or self._pipeline[0] is not exchange:
+        if not exchange.is_due:
             return
-        while self._pipeline and self._pipeline[0].is_done and self.stream.is_open:
-            done = self._pipeline.popleft()
+        while self.pipeline and self.pipeline[0].is_done and self.stream.is_open:
+            done = self.pipeline.popleft()
             done.forget_head()
             is_body_incomplete = not done.is_complete
             if done.parser.our_state is h11.MUST_CLOSE or is_body_incomplete:
                 self._close()
                 return
-            if self._pipeline:
-                self._write_held(self._pipeline[0])
+            if self.pipeline:
+                self._write_held(self.pipeline[0])
         if not self.stream.is_open:
             return
-        if not self._pipeline and self._receiving is None:
+        if not self.pipeline and self._receiving is None:
             if self._is_input_ended:
                 self._close()
                 return
@@ -324,7 +331,7 @@
     @property
     def _is_idle(self):
         is_receiving = self._receiving is not None or not self._is_input_empty
-        return not self._pipeline and not is_receiving
+        return not self.pipeline and not is_receiving
 
     def time_out(self):
         """Close the connection after a timeout, with status 408 if not idle.
@@ -355,7 +362,7 @@
     @property
     def may_make_room(self):
         """True if closing the connection loses no request that is complete."""
-        return not any(exchange.is_complete for exchange in self._pipeline)
+        return not any(exchange.is_complete for exchange in self.pipeline)
 
     def reject(self, status, detail, reason=""):
         """Respond to the current request with an error and close.
@@ -370,17 +377,17 @@
             exchange.is_done = True
             exchange.release_body()
             exchange.forget_head()
-            if exchange in self._pipeline:
-                self._pipeline.remove(exchange)
+            if exchange in self.pipeline:
+                self.pipeline.remove(exchange)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             retry_s = 1 + exchange.request_id % MAX_RETRY_AFTER_S if exchange else 1
             self._rejection = encode_rejection(
                 self._parser, status, detail, reason, retry_s
             )
-        elif self._pipeline or (exchange is not None and exchange.is_started):
+        elif self.pipeline or (exchange is not None and exchange.is_started):
             self.stream.abort()
             return
-        if self._pipeline:
+        if self.pipeline:
             self._update_reading()
         else:
             self._close()
--- a/packages/snipebay-policy/src/snipebay_policy/arrivals.py
+++ b/packages/snipebay-policy/src/snipebay_policy/arrivals.py
@@ -21,6 +21,7 @@
         attempts_before_hop: Attempts of the entry instance that sent it here, or None
             when its caller did.
         peer_host: Host of the other side of its connection, or empty.
+        waited_s: Time for which it has waited behind others of its connection.
     """
 
     request_id: int
@@ -31,6 +32,7 @@
     credential: bytes = b""
     attempts_before_hop: int | None = None
     peer_host: str = ""
+    waited_s: float = 0.0
 
 
 def check_arrival(arrival, forward, now_s):
--- a/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
+++ b/packages/snipebay-policy/src/snipebay_policy/backend_reports.py
@@ -27,6 +27,13 @@
             self.ctx.load_exchange.record(row.attempt.member)
             self.ctx.fleet.near_domains.is_enabled = True
 
+    def on_arriving(self, attempt_id, now_s):
+        """Handle a response that arrives, but is not relayed before it is complete."""
+        row = self.queue.rows_by_attempt.get(attempt_id)
+        if row is not None and not row.attempt.is_arriving:
+            row.attempt.is_arriving = True
+            self._record_response(row, now_s)
+
     def on_leaving(self, attempt_id):
         """Stop using a backend server that says in a response that it is leaving.
 
--- a/packages/snipebay-policy/src/snipebay_policy/forward.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward.py
@@ -96,9 +96,10 @@
     @staticmethod
     def limit_s(arrival, route):
         """Return the longest time that a request may take in seconds."""
-        if arrival.timeout_s is None:
-            return route.timeout_s
-        return min(arrival.timeout_s, route.timeout_s)
+        timeout_s = route.timeout_s
+        if arrival.timeout_s is not None:
+            timeout_s = min(arrival.timeout_s, timeout_s)
+        return timeout_s - arrival.waited_s
 
     def on_caller_disconnect(self, request_id, now_s):
         """Cancel a request whose caller has disconnected.
--- a/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
+++ b/packages/snipebay-policy/src/snipebay_policy/forward_rows.py
@@ -39,6 +39,7 @@
         is_written: True once a byte may have reached the backend server.
         is_hop: True when it goes through another entry instance.
         pace: Pace of the backend server that the response named, 1.0 if none.
+        is_arriving: True while its response arrives that is not relayed yet.
     """
 
     attempt_id: int
@@ -49,6 +50,7 @@
     is_written: bool = False
     is_hop: bool = False
     pace: float = 1.0
+    is_arriving: bool = False
 
 
 @attrs.define
@@ -116,6 +118,7 @@
             attempt is not None
             and self.route.idempotent
             and not self.is_relayed
+            and not attempt.is_arriving
             and attempt.member.is_unresponsive(now_s)
             and now_s >= attempt.started_s + stall_timeout_s
             and self.attempt_count < self.route.max_attempts
