Forget registrations that ended with the takeover of an address

The table of registrations that refuses late withdrawals kept one entry for each backend server whose address another one had taken over. It is pruned to the registered ids once it has twice as many. The test fails without it.

--- a/packages/snipebay-control/src/snipebay_control/delayed_commands.py
+++ b/packages/snipebay-control/src/snipebay_control/delayed_commands.py
@@ -47,6 +47,7 @@
         elif isinstance(cmd, messages.PutBackend):
             registered = self._state.backends.get(cmd.row.backend_id)
             self._registrations.record_applied(cmd.row, index, registered)
+            self._registrations.prune(self._state.backends.keys())
         elif isinstance(cmd, messages.RemoveBackend):
             self._registrations.record_removed(cmd.backend_id)
             if _is_withdrawal(cmd):
--- a/packages/snipebay-control/src/snipebay_control/registration_guard.py
+++ b/packages/snipebay-control/src/snipebay_control/registration_guard.py
@@ -4,6 +4,9 @@
 
 __all__ = ["RegistrationGuard"]
 
+# Fewer rows than this are not worth a walk over the table.
+MIN_PRUNED = 64
+
 
 @attrs.frozen
 class _Registration:
@@ -70,6 +73,19 @@
         """Record that no incarnation of an id is registered any more."""
         self._applied.pop(backend_id, None)
 
+    def prune(self, backend_ids):
+        """Forget registrations that ended without a removal, once they are many.
+
+        A backend server that takes over the address of an earlier one ends its
+        registration.
+
+        Args:
+            backend_ids: Ids that are registered.
+        """
+        if len(self._applied) > 2 * len(backend_ids) + MIN_PRUNED:
+            known = self._applied.keys() & backend_ids
+            self._applied = {i: self._applied[i] for i in known}
+
     def has_proposed(self, backend_id):
         """Return True while an announcement of this leader is not applied."""
         return backend_id in self._proposed
--- a/packages/snipebay-control/tests/test_delayed_withdrawals.py
+++ b/packages/snipebay-control/tests/test_delayed_withdrawals.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 import numpy as np
 from snipebay_control.core import ControlConfig
 from snipebay_control.registration_guard import RegistrationGuard
@@ -54,6 +55,14 @@
         self.guard.start_term()
         self.assert_outdated(False, 19)
 
+    def test_registrations_that_ended_unnoticed_are_forgotten(self):
+        for number in range(500):
+            row = backend(born_ms=number)
+            row = attrs.evolve(row, backend_id=f"i-{number}")
+            self.guard.record_applied(row, number, row)
+            self.guard.prune({row.backend_id})
+        self.assertLess(len(self.guard._applied), 100)
+
     def test_removed_incarnation_has_no_withdrawal_to_refuse(self):
         self.guard.record_removed("i-1")
         self.assert_outdated(False, 0)
