A change on a version that does not come is not refused

Operators could see a change in force that had been refused: a change whose base version had not come within 0.9 s got 412, and a copy of it, given up at a suspended instance, was accepted once the base was.

A refusal is now given only if it is final: the base version was replaced, and versions only increase. Otherwise the answer is 503, without a clear outcome.

--- a/packages/snipebay-model/src/snipebay_model/messages.py
+++ b/packages/snipebay-model/src/snipebay_model/messages.py
@@ -230,7 +230,8 @@
     Attributes:
         code: ``ok``, ``conflict``, ``invalid``, ``missing``, ``stale``,
             ``replay``, ``running``, ``unknown``, ``mismatch``, ``aborted``,
-            ``done``, ``outdated``, ``superseded``, ``not-leader`` or ``busy``.
+            ``done``, ``outdated``, ``superseded``, ``pending``, ``not-leader`` or
+            ``busy``.
         revision: View revision after the command; for a change of the settings,
             the settings revision.
         detail: Explanation for people, stored and shown as it is.
--- a/packages/snipebay-node/src/snipebay_node/plan_intake.py
+++ b/packages/snipebay-node/src/snipebay_node/plan_intake.py
@@ -14,7 +14,8 @@
 
     A patch is merged into the plan that was read, so both must be of the version that
     the patch names: the replicated state compares only that name. A change whose base
-    version is still in progress waits for it for as long as a call may take.
+    version is still in progress waits for it for as long as a call may take. The
+    outcome is ``conflict`` only if the change can't be accepted any more.
 
     Args:
         control_client: Client that sends commands and reads to the control instances.
@@ -40,9 +41,13 @@
                 respond(outcome)
                 return
 
-            def apply_again(_, reading):
-                if reading is not None and reading.version == base_version:
+            def apply_again(read_outcome, reading):
+                if reading is None:
+                    respond(read_outcome)
+                elif reading.version == base_version:
                     client.apply_plan(plan, base_version, digest, respond)
+                elif reading.version < base_version:
+                    respond(_pending(base_version, reading))
                 else:
                     respond(outcome)
 
@@ -70,8 +75,7 @@
                 # A reading names the newest digests only.
                 client.confirm_plan(base_version, digest, respond)
             elif reading.version < base_version:
-                detail = f"base version {base_version!r} is above {reading.version!r}"
-                respond(Outcome("conflict", detail=detail))
+                respond(_pending(base_version, reading))
             else:
                 merged = merge(reading.plan.source if reading.plan else b"")
                 if isinstance(merged, Success):
@@ -82,6 +86,16 @@
         client.read_plan(apply_merged, min_version=base_version)
 
 
+def _pending(base_version, reading):
+    """Return the outcome of a change whose base version is not in force in time.
+
+    It is no conflict: a copy of the change that is still on its way may be accepted
+    once the base version is.
+    """
+    detail = f"base version {base_version!r} is above {reading.version!r}"
+    return Outcome("pending", detail=detail)
+
+
 def _logged(respond, base_version, digest):
     """Return a function that logs an outcome and responds with it."""
 
