A response that is not due is replaced by an error when it is broken off

Callers of an instance with a settings tree lost earlier requests of their connection when the response to a later one was broken off, although nothing of it had been sent: it counted as begun, so the connection was closed. The time that a request waited behind others was handed on in full.

Now such a response is discarded and 502 takes its place; the time counts. The first test fails without the change, with the connection closed. What runs on the users' platform takes another way and is not touched.

--- a/packages/snipebay-node/src/snipebay_node/exchange.py
+++ b/packages/snipebay-node/src/snipebay_node/exchange.py
@@ -211,6 +211,20 @@
             self.connection.send(self, h11.EndOfMessage())
             self.connection.finish_response(self)
 
+    def break_off(self, detail):
+        """End a response that can't be completed.
+
+        If nothing of it was sent yet, an error takes its place. Otherwise the
+        connection closes, which also cuts the other requests on it.
+        """
+        if not self.is_started or not self.is_due:
+            self.held_events = []
+            self.forget_held_bytes()
+            self.is_started = False
+            self.problem(502, "unknown", detail)
+        else:
+            self.abort()
+
     def abort(self):
         """Close the connection, so that the caller sees a truncated response."""
         self.is_done = True
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -101,7 +101,7 @@
             return
         info = RequestInfo(
             service,
-            int(timeout) / 1_000 if timeout else None,
+            max(0.0, int(timeout) / 1_000 - exchange.waited_s) if timeout else None,
             exchange.header(KEY_HEADER),
             _digest(exchange),
         )
@@ -203,7 +203,7 @@
             return
         exchange = request.exchange
         if exchange.is_started:
-            exchange.abort()
+            exchange.break_off(action.detail)
         else:
             extra = {"trace": trace_id(exchange.span)} if exchange.span else {}
             exchange.problem(
@@ -265,7 +265,7 @@
         request = self._active.get(request_id)
         if request is not None and request.relayed_attempt_id == attempt_id:
             del self._active[request_id]
-            request.exchange.abort()
+            request.exchange.break_off(reason)
             self._record_end(request, "cut")
         self.core.requests.on_failure(attempt_id, self.clock(), reason)
         self.run_actions()
--- a/packages/snipebay-node/tests/test_http_pipelining.py
+++ b/packages/snipebay-node/tests/test_http_pipelining.py
@@ -77,6 +77,32 @@
         self.assertFalse(self.stream.is_open)
 
 
+class TestBrokenOffResponses(ServerCase):
+    """Guards against requests that are cut with a later one that was broken off."""
+
+    def test_response_of_which_nothing_was_sent_becomes_an_error(self):
+        self.app.hold_responses = True
+        self.send(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+        first, second, third = self.app.exchanges
+        second.start(200, [("Content-Length", "9")])
+        second.write(b"part")
+        second.break_off("the connection was reset")
+        self.assertTrue(self.stream.is_open)
+        for exchange in (third, first):
+            self.app.respond(exchange)
+        heads = bytes(self.stream.sent).split(b"HTTP/1.1 ")[1:]
+        self.assertEqual([int(head[:3]) for head in heads], [200, 502, 200])
+        self.assertNotIn(b"part", bytes(self.stream.sent))
+
+    def test_response_that_has_begun_closes_the_connection(self):
+        self.app.hold_responses = True
+        self.send(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        (exchange,) = self.app.exchanges
+        exchange.start(200, [("Content-Length", "9")])
+        exchange.break_off("the connection was reset")
+        self.assertFalse(self.stream.is_open)
+
+
 class TestRejectionBehindRunningRequests(ServerCase):
     """Guards against running requests cut by an invalid one behind them."""
 
