--- a/packages/snipebay-control/tests/test_delayed_commands.py
+++ b/packages/snipebay-control/tests/test_delayed_commands.py
@@ -83,10 +83,7 @@
         self.assert_abandoned_order_is_refused()
 
     def test_order_that_arrives_after_all_have_restarted_is_refused(self):
-        for host in self.rig.hosts.values():
-            host.kill()
-        for host in self.rig.hosts.values():
-            host.start()
+        self.rig.restart_all()
         self.assert_abandoned_order_is_refused()
 
     def test_order_that_arrives_after_a_snapshot_was_installed_is_refused(self):
@@ -247,10 +244,7 @@
 
     def test_after_all_have_restarted(self):
         self.withdraw()
-        for host in self.rig.hosts.values():
-            host.kill()
-        for host in self.rig.hosts.values():
-            host.start()
+        self.rig.restart_all()
         self.assert_is_not_registered()
 
     def test_after_all_have_restarted_from_a_snapshot(self):
@@ -261,9 +255,7 @@
             self.rig.call(Evacuate(f"b-{number}", True))
         for host in self.rig.hosts.values():
             self.assertGreater(host.core.raft.log.snapshot.index, self.base)
-            host.kill()
-        for host in self.rig.hosts.values():
-            host.start()
+        self.rig.restart_all()
         self.assert_is_not_registered()
 
     def test_while_the_withdrawal_is_not_committed_yet(self):
--- a/packages/snipebay-control/tests/test_delayed_withdrawals.py
+++ b/packages/snipebay-control/tests/test_delayed_withdrawals.py
@@ -131,10 +131,7 @@
 
     def test_after_all_have_restarted(self):
         self.start_again()
-        for host in self.rig.hosts.values():
-            host.kill()
-        for host in self.rig.hosts.values():
-            host.start()
+        self.rig.restart_all()
         self.assert_delayed_one_is_refused()
 
     def test_after_all_have_restarted_from_a_snapshot(self):
@@ -145,9 +142,7 @@
             self.rig.call(Evacuate(f"b-{number}", True))
         for host in self.rig.hosts.values():
             self.assertGreater(host.core.raft.log.snapshot.index, self.base)
-            host.kill()
-        for host in self.rig.hosts.values():
-            host.start()
+        self.rig.restart_all()
         self.assert_delayed_one_is_refused()
 
     def test_while_the_registration_is_not_committed_yet(self):
--- a/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/control_rig.py
@@ -186,6 +186,13 @@
         self.scheduler.run_for(0.2)
         return self.leader
 
+    def restart_all(self):
+        """Kill all instances, then start them from what is on their disks."""
+        for host in self.hosts.values():
+            host.kill()
+        for host in self.hosts.values():
+            host.start()
+
     def send(self, cmd, target=None, base_index=-1):
         """Send a command and return its request id.
 
