--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -351,13 +351,8 @@
             cmd = decode_body(kind, data)
             outcome = self.state.execute(cmd)
             self._delayed.record_applied(cmd, entry.index)
-            self.telemetry.record_order(
-                "order applied",
-                cmd,
-                entry.index,
-                term=entry.term,
-                revision=outcome.revision,
-            )
+            fields = {"term": entry.term, "revision": outcome.revision}
+            self.telemetry.record_order("order applied", cmd, entry.index, **fields)
             self._proposed_commands.discard((kind, data))
             if isinstance(cmd, messages.PutBackend) and self.raft.is_leader:
                 self._on_announcement(cmd.row, outcome)
--- a/packages/snipebay-node/src/snipebay_node/http_connection.py
+++ b/packages/snipebay-node/src/snipebay_node/http_connection.py
@@ -5,6 +5,7 @@
 import h11
 
 from snipebay_node.body_intake import BODY_TIMEOUT_S, HEAD_READ_BYTES, BodyIntake
+from snipebay_node.dispatch_order import dispatchable
 from snipebay_node.exchange import Exchange
 from snipebay_node.rejections import (
     body_length,
@@ -219,26 +220,10 @@
         self._dispatch_ready()
 
     def _dispatch_ready(self):
-        """Pass the requests that may run concurrently to the application.
-
-        Safe requests run alongside earlier safe ones; any other request waits
-        until the responses to all earlier requests have ended. So does one behind a
-        response that is being streamed: if that is broken off, the connection closes.
-        """
-        is_streaming = False
-        for i, exchange in enumerate(list(self.pipeline)):
-            if not exchange.is_complete:
-                return
-            if i and not exchange.is_safe:
-                return
-            if is_streaming and not exchange.is_handled:
-                return
-            is_streaming |= exchange.is_started and not exchange.is_done
-            if not exchange.is_handled and not exchange.is_done:
-                exchange.is_handled = True
-                self.server.app.handle(exchange)
-            if not exchange.is_safe:
-                return
+        """Pass the requests that may run concurrently to the application."""
+        for exchange in dispatchable(self.pipeline):
+            exchange.is_handled = True
+            self.server.app.handle(exchange)
 
     # --- output -----------------------------------------------------------
 
