--- a/packages/snipebay-control/src/snipebay_control/cluster_status.py
+++ b/packages/snipebay-control/src/snipebay_control/cluster_status.py
@@ -1,9 +1,8 @@
 """Cluster status as reported by the leader."""
 
+from snipebay_model.node_names import instance_id_of
 from snipebay_model.status import ClusterStatus, EntryStatus, MemberStatus
 
-from snipebay_control.membership import instance_id_of
-
 __all__ = ["cluster_status"]
 
 
--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -18,6 +18,7 @@
     StatusReply,
     StatusRequest,
 )
+from snipebay_model.node_names import instance_id_of
 from snipebay_model.settings import parse_settings
 
 from snipebay_control.admission import admission
@@ -27,7 +28,6 @@
 from snipebay_control.delayed_commands import DelayedCommands
 from snipebay_control.entry_replies import EntryReplies
 from snipebay_control.joining import JoinProtocol
-from snipebay_control.membership import instance_id_of
 from snipebay_control.raft import Raft
 from snipebay_control.rate_limit_board import RateLimitBoard
 from snipebay_control.sessions import Sessions
--- a/packages/snipebay-control/src/snipebay_control/joining.py
+++ b/packages/snipebay-control/src/snipebay_control/joining.py
@@ -1,8 +1,9 @@
 """Membership of the control group: bootstrap, discovery, joining and removal."""
 
 from snipebay_model.messages import Hello
+from snipebay_model.node_names import instance_id_of
 
-from snipebay_control.membership import instance_id_of, next_members
+from snipebay_control.membership import next_members
 
 __all__ = ["JoinProtocol"]
 
--- a/packages/snipebay-control/src/snipebay_control/membership.py
+++ b/packages/snipebay-control/src/snipebay_control/membership.py
@@ -1,13 +1,10 @@
 """Chooses the next single-server membership change of the control group."""
 
-__all__ = ["MAX_PROMOTION_LAG_ENTRIES", "instance_id_of", "next_members"]
-
-MAX_PROMOTION_LAG_ENTRIES = 64
+from snipebay_model.node_names import instance_id_of
 
+__all__ = ["MAX_PROMOTION_LAG_ENTRIES", "next_members"]
 
-def instance_id_of(node):
-    """Return the instance id of a node name ``id#incarnation``."""
-    return node.partition("#")[0]
+MAX_PROMOTION_LAG_ENTRIES = 64
 
 
 def next_members(
--- a/packages/snipebay-node/src/snipebay_node/node.py
+++ b/packages/snipebay-node/src/snipebay_node/node.py
@@ -10,6 +10,7 @@
 from circuits.core.pollers import EPoll
 from snipebay_control.core import ControlConfig, ControlCore
 from snipebay_model import messages
+from snipebay_model.node_names import instance_id_of
 from snipebay_model.units import LOOKUP_TTL_S
 from snipebay_model.view import EntryRow
 from snipebay_policy.context import EntryConfig
@@ -140,7 +141,7 @@
 
         A node name is an instance id, ``#`` and the incarnation of the data folder.
         """
-        instance_id = target.partition("#")[0]
+        instance_id = instance_id_of(target)
         if instance_id == self.settings.id:
             self._local_messages.append(body)
             return
--- a/packages/snipebay-node/src/snipebay_node/routed_node.py
+++ b/packages/snipebay-node/src/snipebay_node/routed_node.py
@@ -8,10 +8,10 @@
 from circuits import BaseComponent
 from circuits.core.pollers import EPoll
 from snipebay_control.core import ControlConfig, ControlCore
-from snipebay_control.membership import instance_id_of
 from snipebay_control.raft import RaftTiming
 from snipebay_control.sessions import LeaseTiming
 from snipebay_model import messages
+from snipebay_model.node_names import instance_id_of
 from snipebay_model.view import EntryRow
 from snipebay_policy.routed import RoutedCore
 from snipebay_policy.work import Send
--- a/packages/snipebay-policy/src/snipebay_policy/commands.py
+++ b/packages/snipebay-policy/src/snipebay_policy/commands.py
@@ -6,6 +6,7 @@
 import attrs
 from snipebay_model.codec import encode_body
 from snipebay_model.messages import CommandReply, CommandRequest
+from snipebay_model.node_names import instance_id_of
 
 from snipebay_policy.work import Send
 
@@ -114,7 +115,7 @@
         if not leader:
             return
         # One that has lost its quorum goes on naming itself for a while.
-        if leader != self.leader and sender.partition("#")[0] == leader:
+        if leader != self.leader and instance_id_of(sender) == leader:
             self.leader_heard_s = now_s
         self.leader = leader
 
--- a/packages/snipebay-policy/src/snipebay_policy/routed.py
+++ b/packages/snipebay-policy/src/snipebay_policy/routed.py
@@ -6,6 +6,7 @@
 from snipebay_model import messages
 from snipebay_model.codec import CodecError
 from snipebay_model.messages import Renew
+from snipebay_model.node_names import instance_id_of
 from snipebay_model.packed_delta import unpack_delta
 from snipebay_model.plan import RequestLimits
 from snipebay_model.view import View
@@ -288,7 +289,7 @@
             self.commands.controls = tuple(dict.fromkeys((*msg.controls, *self._seeds)))
         self.commands.record_leader(msg.leader, sender, now_s)
         if msg.quorum_revision == 0:
-            is_sender = sender.partition("#")[0] == msg.leader
+            is_sender = instance_id_of(sender) == msg.leader
             if msg.leader and not is_sender and self._may_redirect:
                 # The leader may not be among the known control instances. One redirect
                 # for each renewal: a leader that lost its quorum names itself.
--- a/packages/snipebay-testbed/src/snipebay_testbed/fakes.py
+++ b/packages/snipebay-testbed/src/snipebay_testbed/fakes.py
@@ -6,6 +6,7 @@
 import attrs
 from snipebay_control.raft_log import PersistentState, RaftLog
 from snipebay_model.codec import Envelope, decode, encode
+from snipebay_model.node_names import instance_id_of
 
 __all__ = ["FakeDisk", "FakeNetwork", "Scheduler"]
 
@@ -92,7 +93,7 @@
         for _ in range(copies):
             if self.rng.random() < self.loss:
                 continue
-            pair = (_instance_id(source), _instance_id(target))
+            pair = (instance_id_of(source), instance_id_of(target))
             delay_s = self.delay_s(*pair) * (1 + self.jitter * self.rng.random())
             self.scheduler.after(delay_s, self._deliver, pair, target, frame)
 
@@ -118,7 +119,7 @@
         if pair in self.blocked_pairs:
             return
         receiver = self.receivers.get(target) or self.receivers.get(
-            _instance_id(target)
+            instance_id_of(target)
         )
         if receiver is not None:
             envelope = decode(frame)
@@ -155,8 +156,3 @@
         return PersistentState(
             self.hard_state, self.log.snapshot, tuple(self.log.entries)
         )
-
-
-def _instance_id(node):
-    """Return the instance id of a node id, which may carry an incarnation."""
-    return node.partition("#")[0]
