Intakes of calls share what they have in common

Orders, withdrawals and changes of the plan each logged their outcome, and the first two dropped calls of callers that left, in copies of the same lines. What has become of a change's base version is a function of two numbers now, used for whole plans and for patches.

--- a/packages/snipebay-node/src/snipebay_node/order_intake.py
+++ b/packages/snipebay-node/src/snipebay_node/order_intake.py
@@ -1,11 +1,9 @@
 """Takes orders of operators about failure domains, and logs their outcomes."""
 
-import structlog
+from snipebay_node.control_calls import is_abandoned, logged
 
 __all__ = ["OrderIntake"]
 
-log = structlog.get_logger(__name__)
-
 
 class OrderIntake:
     """Passes orders on to the leader, with what tells how old they are.
@@ -33,22 +31,9 @@
             "caller": exchange.stream.peer,
             "base": base_index,
         }
-        if exchange.stream.has_peer_closed:
-            # The caller has abandoned the order and may have given another one.
-            log.warning("order of a caller that left ignored", **fields)
-            exchange.abort()
+        if is_abandoned(exchange, "order of a caller that left ignored", fields):
             return
         # The age of an order is known from its connection, so each has its own.
         exchange.closes_connection = True
-
-        def finish(outcome):
-            log.info(
-                "order answered",
-                **fields,
-                outcome=outcome.code,
-                detail=outcome.detail,
-                revision=outcome.revision,
-            )
-            respond(outcome)
-
-        self._control_client.evacuate(domain, evacuated, finish, base_index)
+        respond = logged("order answered", fields, respond)
+        self._control_client.evacuate(domain, evacuated, respond, base_index)
--- a/packages/snipebay-node/src/snipebay_node/plan_intake.py
+++ b/packages/snipebay-node/src/snipebay_node/plan_intake.py
@@ -1,12 +1,31 @@
 """Takes changes of the traffic plan, of which several may be in progress at once."""
 
-import structlog
+import enum
+
 from returns.result import Success
 from snipebay_model.messages import Outcome
 
+from snipebay_node.control_calls import logged
+
 __all__ = ["PlanIntake"]
 
-log = structlog.get_logger(__name__)
+
+class Base(enum.Enum):
+    """What has become of the version that a change builds on."""
+
+    IN_PROGRESS = enum.auto()
+    IN_FORCE = enum.auto()
+    REPLACED = enum.auto()
+
+
+def base_of_change(base_version, version):
+    """Return what has become of a base version, given the version in force.
+
+    Versions only increase, so a replaced one never comes back.
+    """
+    if version < base_version:
+        return Base.IN_PROGRESS
+    return Base.IN_FORCE if version == base_version else Base.REPLACED
 
 
 class PlanIntake:
@@ -36,24 +55,27 @@
         client = self._control_client
         respond = _logged(respond, base_version, digest)
 
-        def wait_for_base(outcome):
+        def on_first_outcome(outcome):
             if outcome.code != "conflict":
                 respond(outcome)
                 return
 
-            def apply_again(read_outcome, reading):
+            def on_reading(read_outcome, reading):
                 if reading is None:
                     respond(read_outcome)
-                elif reading.version == base_version:
-                    client.apply_plan(plan, base_version, digest, respond)
-                elif reading.version < base_version:
-                    respond(_pending(base_version, reading))
-                else:
-                    respond(outcome)
+                    return
+                match base_of_change(base_version, reading.version):
+                    case Base.IN_PROGRESS:
+                        respond(_pending(base_version, reading))
+                    case Base.IN_FORCE:
+                        client.apply_plan(plan, base_version, digest, respond)
+                    case Base.REPLACED:
+                        respond(outcome)
 
-            client.read_plan(apply_again, min_version=base_version)
+            client.read_plan(on_reading, min_version=base_version)
 
-        client.apply_plan(plan, base_version, digest, wait_for_base)
+        # A change whose base is in force, as most are, costs no read.
+        client.apply_plan(plan, base_version, digest, on_first_outcome)
 
     def patch(self, merge, base_version, digest, respond):
         """Apply a patch to the plan of its base version.
@@ -68,22 +90,27 @@
         client = self._control_client
         respond = _logged(respond, base_version, digest)
 
-        def apply_merged(outcome, reading):
+        def apply_merged(plan):
+            merged = merge(plan.source if plan else b"")
+            if isinstance(merged, Success):
+                client.apply_plan(merged.unwrap(), base_version, digest, respond)
+            else:
+                respond(Outcome("invalid", detail=merged.failure()))
+
+        def on_reading(outcome, reading):
             if reading is None or digest in reading.digests:
                 respond(outcome)
-            elif reading.version > base_version:
-                # A reading names the newest digests only.
-                client.confirm_plan(base_version, digest, respond)
-            elif reading.version < base_version:
-                respond(_pending(base_version, reading))
-            else:
-                merged = merge(reading.plan.source if reading.plan else b"")
-                if isinstance(merged, Success):
-                    client.apply_plan(merged.unwrap(), base_version, digest, respond)
-                else:
-                    respond(Outcome("invalid", detail=merged.failure()))
+                return
+            match base_of_change(base_version, reading.version):
+                case Base.IN_PROGRESS:
+                    respond(_pending(base_version, reading))
+                case Base.IN_FORCE:
+                    apply_merged(reading.plan)
+                case Base.REPLACED:
+                    # A reading names the newest digests only.
+                    client.confirm_plan(base_version, digest, respond)
 
-        client.read_plan(apply_merged, min_version=base_version)
+        client.read_plan(on_reading, min_version=base_version)
 
 
 def _pending(base_version, reading):
@@ -97,17 +124,5 @@
 
 
 def _logged(respond, base_version, digest):
-    """Return a function that logs an outcome and responds with it."""
-
-    def finish(outcome):
-        log.info(
-            "change of the plan answered",
-            base=base_version,
-            digest=digest,
-            outcome=outcome.code,
-            detail=outcome.detail,
-            revision=outcome.revision,
-        )
-        respond(outcome)
-
-    return finish
+    fields = {"base": base_version, "digest": digest}
+    return logged("change of the plan answered", fields, respond)
--- a/packages/snipebay-node/src/snipebay_node/registration_intake.py
+++ b/packages/snipebay-node/src/snipebay_node/registration_intake.py
@@ -1,14 +1,12 @@
 """Takes announcements and withdrawals of backend servers."""
 
-import structlog
+from snipebay_node.control_calls import is_abandoned, logged
 
 __all__ = ["RegistrationIntake"]
 
-log = structlog.get_logger(__name__)
-
 
 class RegistrationIntake:
-    """Passes them on to the leader, with what tells which incarnation sent them.
+    """Passes on announcements and withdrawals, and which incarnation sent them.
 
     Args:
         control_client: Client that sends commands to the control instances.
@@ -45,25 +43,12 @@
             "base": exchange.log_index,
             "born": born_ms if announced_id == backend_id else 0,
         }
-        if exchange.stream.has_peer_closed:
-            # The caller has withdrawn elsewhere and may have started again.
-            log.warning("withdrawal of a caller that left ignored", **fields)
-            exchange.abort()
+        if is_abandoned(exchange, "withdrawal of a caller that left ignored", fields):
             return
-
-        def finish(outcome):
-            log.info(
-                "withdrawal answered",
-                **fields,
-                outcome=outcome.code,
-                detail=outcome.detail,
-                revision=outcome.revision,
-            )
-            respond(outcome)
-
+        respond = logged("withdrawal answered", fields, respond)
         self._control_client.withdraw(
             backend_id,
-            _closing_if_outdated(exchange, finish),
+            _closing_if_outdated(exchange, respond),
             fields["base"],
             fields["born"],
         )
