What to do with a long response is a decision of its own

The forwarder decided between leaving it unread, holding it and relaying it while it changed the state of connections. The decision is a function of four values now, in the package without input and output (long_responses.py).

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -1,6 +1,11 @@
 """Forwards requests of callers to backend servers by the configured routes."""
 
 import structlog
+from snipebay_policy.long_responses import (
+    MAX_BUFFERED_RESPONSE_BYTES,
+    LongResponse,
+    handle_long_response,
+)
 from snipebay_policy.work import (
     PROMISE_STATUSES,
     Cancel,
@@ -25,12 +30,6 @@
 
 __all__ = ["Forwarder"]
 
-# A response up to this size is relayed once it is complete, so that the request can
-# be retried if the response is truncated. A larger response is streamed.
-MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
-# The same while other requests of the connection are in progress, which would be cut
-# together with a streamed response.
-MAX_HELD_RESPONSE_BYTES = 1024 * 1024
 # A response up to about this size is read to its end after its caller has left, so that
 # a backend server can complete a request that must not be cancelled.
 MAX_DISCARDED_RESPONSE_BYTES = 1024 * 1024
@@ -245,19 +244,20 @@
             self._on_long_response(attempt_id, request, response)
 
     def _on_long_response(self, attempt_id, request, response):
-        """Relay a long response as it arrives, unless that may cut other requests.
-
-        If it is broken off, the connection of the caller closes, and with it go
-        earlier requests, and later ones that were dispatched.
-        """
+        """Relay a long response as it arrives, unless that may cut other requests."""
         exchange = request.exchange
         request.long_attempt_id = attempt_id
-        is_small = len(response.buffered) <= MAX_HELD_RESPONSE_BYTES
-        if not exchange.is_due:
-            self.pool.set_paused(attempt_id, True)
-        elif not (is_small and exchange.has_others and exchange.has_memory):
+        step = handle_long_response(
+            len(response.buffered),
+            is_due=exchange.is_due,
+            has_others=exchange.has_others,
+            has_memory=exchange.has_memory,
+        )
+        if step is LongResponse.STREAM:
             self._report_response(attempt_id, response)
             return
+        if step is LongResponse.PAUSE:
+            self.pool.set_paused(attempt_id, True)
         self.core.forward.on_arriving(attempt_id, self.clock())
 
     def _discard(self, attempt_id, response, data):
--- a/packages/snipebay-node/tests/test_long_responses.py
+++ b/packages/snipebay-node/tests/test_long_responses.py
@@ -3,7 +3,10 @@
 import unittest
 
 from snipebay_node.body_budget import BodyBudget
-from snipebay_node.forwarder import MAX_BUFFERED_RESPONSE_BYTES, MAX_HELD_RESPONSE_BYTES
+from snipebay_policy.long_responses import (
+    MAX_BUFFERED_RESPONSE_BYTES,
+    MAX_HELD_RESPONSE_BYTES,
+)
 from snipebay_testbed.forwarder_case import RESPONSE, ForwarderCase
 
 SIZE = 3 * MAX_BUFFERED_RESPONSE_BYTES
