A 421 says nothing of the backend server that was meant

Callers of an instance with a settings tree could find a sound backend server left alone, or held to another one's rate limit: a response with status 421 comes from another backend server that has the address now, and its headers were counted for the one that was meant. Instances with a traffic plan left out the two, but took its load.

Cause: the two kinds of instances read the headers in copies of the same lines, of which one knew the rule. Evidence: both new tests fail on the code before (on_leaving called once; on_load_report called once).

Now both use one class, ResponseReports, which stops at a 421; what only an instance with a traffic plan reads stands in RoutedReports. Why it works: no other place reads these headers.

--- a/packages/snipebay-node/src/snipebay_node/forwarder.py
+++ b/packages/snipebay-node/src/snipebay_node/forwarder.py
@@ -21,7 +21,7 @@
 from snipebay_node.header_names import HeaderNames
 from snipebay_node.hop_headers import relayed_headers, request_headers
 from snipebay_node.log_sink import RequestLog
-from snipebay_node.response_reports import ResponseReports
+from snipebay_node.response_reports import RoutedReports
 from snipebay_node.upstream import (
     MISDIRECTED_REQUEST,
     UpstreamPool,
@@ -58,7 +58,7 @@
         self.pool = UpstreamPool(
             hub, clock, self, self.header_names, core.forward.on_connected
         )
-        self._reports = ResponseReports(core.forward, self.header_names, clock)
+        self._reports = RoutedReports(core.forward, self.header_names, clock)
         self._active = {}
         self._attempts = {}
         self._responses = {}
@@ -222,7 +222,7 @@
     def on_head(self, attempt_id, status, headers):
         attempt = self._attempts.get(attempt_id)
         is_hop = attempt is not None and attempt.is_hop
-        leaving = self._reports.report(attempt_id, headers, is_hop=is_hop)
+        leaving = self._reports.report(attempt_id, status, headers, is_hop=is_hop)
         self._responses[attempt_id] = Response(status, headers, leaving)
 
     def on_data(self, attempt_id, data):
@@ -286,20 +286,16 @@
         self.run_actions()
 
     def on_not_run(self, attempt_id, status, headers):
-        is_misdirected = status == MISDIRECTED_REQUEST
         attempt = self._attempts.get(attempt_id)
-        if is_misdirected:
-            # Another backend server wrote it.
-            self._reports.report_load(attempt_id, headers)
-        elif attempt is not None:
-            self._reports.report(attempt_id, headers, is_hop=attempt.is_hop)
+        if attempt is not None:
+            self._reports.report(attempt_id, status, headers, is_hop=attempt.is_hop)
         reason = f"the backend server refused it with {status}"
         self._log_failed_attempt(self._end_attempt(attempt_id, "not_run"), reason)
         self.core.forward.on_rejection(
             attempt_id,
             reason,
             self.clock(),
-            is_misdirected=is_misdirected,
+            is_misdirected=status == MISDIRECTED_REQUEST,
             retry_after_s=response_headers.parse_retry_after(
                 dict(headers).get(b"retry-after", b"")
             ),
--- a/packages/snipebay-node/src/snipebay_node/proxy.py
+++ b/packages/snipebay-node/src/snipebay_node/proxy.py
@@ -13,7 +13,7 @@
 )
 
 from snipebay_node.hop_headers import next_hop_headers, strip_hop_headers
-from snipebay_node.response_headers import is_leaving, parse_rate_limit
+from snipebay_node.response_reports import ResponseReports
 from snipebay_node.tracing import end_span, trace_id
 from snipebay_node.upstream import (
     UpstreamPool,
@@ -68,6 +68,7 @@
         self.tracing = tracing
         self.run_actions = run_actions
         self.pool = UpstreamPool(hub, clock, self)
+        self._reports = ResponseReports(core.requests, self.pool.header_names, clock)
         self._active = {}
         self._request_ids = {}
         self._attempt_spans = {}
@@ -224,8 +225,7 @@
         request = self._active.get(self._request_ids.get(attempt_id))
         if request is not None:
             request.response_heads[attempt_id] = (status, headers)
-        self._report_leaving(attempt_id, headers)
-        self._report_rate_limit(attempt_id, headers)
+        self._reports.report(attempt_id, status, headers)
         self.core.requests.on_response(attempt_id, self.clock())
         self.run_actions()
 
@@ -255,8 +255,7 @@
 
     def on_not_run(self, attempt_id, status, headers):
         self._end_attempt(attempt_id, "shed")
-        self._report_leaving(attempt_id, headers)
-        self._report_rate_limit(attempt_id, headers)
+        self._reports.report(attempt_id, status, headers)
         self.core.requests.on_rejection(attempt_id, self.clock())
         self.run_actions()
 
@@ -277,23 +276,6 @@
         if request is not None and request.relayed_attempt_id:
             self.pool.set_paused(request.relayed_attempt_id, paused)
 
-    def _report_leaving(self, attempt_id, headers):
-        """Inform the core of a backend server that says that it is leaving."""
-        header = self.pool.header_names.leaving
-        if is_leaving(value for name, value in headers if name == header):
-            self.core.requests.on_leaving(attempt_id)
-
-    def _report_rate_limit(self, attempt_id, headers):
-        """Pass the rate limit that a backend server named, or did not, to the core."""
-        requests, header = self.core.requests, self.pool.header_names.rate_limit
-        try:
-            per_s = parse_rate_limit([v for name, v in headers if name == header])
-        except ValueError as exc:
-            # The limit named before stays in force.
-            requests.on_invalid_rate_limit(attempt_id, str(exc))
-            return
-        requests.on_rate_limit(attempt_id, per_s, self.clock())
-
     def _end_attempt(self, attempt_id, result):
         """Discard an ended attempt, end its span and return its request's id."""
         end_span(self._attempt_spans.pop(attempt_id, None), result=result)
--- a/packages/snipebay-node/tests/test_proxy.py
+++ b/packages/snipebay-node/tests/test_proxy.py
@@ -45,6 +45,14 @@
         )
         self.core.requests.on_leaving.assert_called_once_with(1)
 
+    def test_421_says_nothing_of_the_backend_server_that_was_meant(self):
+        """Guards against a backend server that is left for what another one says."""
+        head = b"HTTP/1.1 421 M\r\nSnipebay-Leaving: 1\r\nSnipebay-Rate-Limit: 2\r\n"
+        self.hub.streams[0].on_data(head + b"Content-Length: 0\r\n\r\n")
+        self.core.requests.on_rejection.assert_called_once_with(1, 0.0)
+        self.core.requests.on_leaving.assert_not_called()
+        self.core.requests.on_rate_limit.assert_not_called()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/snipebay-node/tests/test_response_headers.py
+++ b/packages/snipebay-node/tests/test_response_headers.py
@@ -1,6 +1,7 @@
 """Tests of the headers of backend servers' responses."""
 
 import unittest
+from unittest import mock
 
 from snipebay_node.response_headers import parse_rate_limit, parse_retry_after
 from snipebay_testbed.forwarder_case import RESPONSE, ForwarderCase
@@ -71,11 +72,13 @@
         self.backend_stream().on_data(refusal)
         self.assertEqual([limit.per_s for limit in self.core.rate_limits], [2.0])
 
-    def test_another_server_at_the_address_names_no_limit(self):
+    def test_another_server_at_the_address_names_no_limit_and_no_load(self):
         self.send_request()
-        refusal = b"HTTP/1.1 421 M\r\nLimit: 2\r\nContent-Length: 0\r\n\r\n"
-        self.backend_stream().on_data(refusal)
+        refusal = b"HTTP/1.1 421 M\r\nLimit: 2\r\nLoad: 3,1,4\r\n"
+        with mock.patch.object(self.core.forward, "on_load_report") as on_load_report:
+            self.backend_stream().on_data(refusal + b"Content-Length: 0\r\n\r\n")
         self.assertEqual(list(self.core.rate_limits), [])
+        on_load_report.assert_not_called()
 
 
 if __name__ == "__main__":
