--- a/packages/snipebay-policy/src/snipebay_policy/requests.py
+++ b/packages/snipebay-policy/src/snipebay_policy/requests.py
@@ -2,10 +2,12 @@
 
 import itertools
 
-from snipebay_model.messages import Abort, Claim, Finish, Outcome
+from snipebay_model.messages import Finish
 from snipebay_model.units import STORED_RESPONSE_LIMIT_BYTES
 
+from snipebay_policy.claims import ClaimSystem
 from snipebay_policy.placement import Placement, dispatch_order
+from snipebay_policy.request_reports import RequestReports
 from snipebay_policy.work import (
     NOT_RUN,
     UNKNOWN,
@@ -14,7 +16,6 @@
     Dispatch,
     Problem,
     Relay,
-    Replay,
     RequestRow,
 )
 
@@ -26,7 +27,7 @@
 LOCAL_CANCEL_DELAY_S = 0.02
 
 
-class RequestSystem:
+class RequestSystem(ClaimSystem, RequestReports):
     """Assigns slots to requests and decides on retries, hedges and responses.
 
     Args:
@@ -127,34 +128,6 @@
         row.attempts[attempt_id].is_written = True
         return True
 
-    def on_rate_limit(self, attempt_id, per_s, now_s):
-        """Record the rate limit that a response named, None if it named none."""
-        row = self._rows_by_attempt.get(attempt_id)
-        backend = self.ctx.backends.get(self._backend_id(row, attempt_id))
-        if backend is not None:
-            self.ctx.slot_limits.table.record(backend, per_s, now_s)
-
-    def on_leaving(self, attempt_id):
-        """Stop using a backend server that says in a response that it is leaving.
-
-        Its next announcement, or a newer row in the view, decides again.
-        """
-        row = self._rows_by_attempt.get(attempt_id)
-        backend_id = self._backend_id(row, attempt_id)
-        if self.ctx.is_open(backend_id):
-            self.ctx.leaving[backend_id] = self.ctx.view.revision
-            self.ctx.record_event("backend server says it is leaving", backend_id)
-
-    def on_invalid_rate_limit(self, attempt_id, detail):
-        """Log a rate limit that can't be read."""
-        row = self._rows_by_attempt.get(attempt_id)
-        if row is not None:
-            backend_id = self._backend_id(row, attempt_id)
-            self.ctx.record_event("invalid rate limit", backend_id, detail=detail)
-
-    def _backend_id(self, row, attempt_id):
-        return row.attempts[attempt_id].slot.backend_id if row is not None else ""
-
     def on_response(self, attempt_id, now_s):
         """Relay the first response whose head arrives, and cancel other attempts."""
         row = self._rows_by_attempt.get(attempt_id)
@@ -218,36 +191,6 @@
         self.ctx.health.record_failure(backend_id, row.rules, now_s)
         self._on_attempt_failed(row, attempt_id, now_s, reason)
 
-    # --- from control -----------------------------------------------------
-
-    def on_claim_outcome(self, request_id, outcome: Outcome, now_s):
-        """Process control's reply to a claim."""
-        row = self.rows.get(request_id)
-        if row is None or row.claim_state != "asked":
-            return
-        if outcome.code == "ok":
-            row.claim_state = "held"
-            self.dispatch_waiting(row.info.service, now_s)
-            return
-        if outcome.code == "not-leader":
-            return
-        self._end_by_claim_outcome(row, outcome, now_s)
-
-    def on_abort_outcome(self, request_id, outcome: Outcome, now_s):
-        """Process control's reply to an abort.
-
-        Only a confirmed abort proves that the request has not run and never will.
-        """
-        row = self.rows.get(request_id)
-        if row is None or row.claim_state != "aborting":
-            return
-        if outcome.code == "ok":
-            self._fail_request(row, 503, NOT_RUN, "not run; send it under a new key", 1)
-        elif outcome.code != "not-leader":
-            self._fail_request(
-                row, 409, UNKNOWN, f"another request has the key: {outcome.code}"
-            )
-
     # --- time -------------------------------------------------------------
 
     def tick(self, now_s):
@@ -394,34 +337,6 @@
         else:
             self._begin_abort(row, now_s)
 
-    def _end_by_claim_outcome(self, row, outcome, now_s):
-        """End a request whose claim control refused, as its key was used before."""
-        if outcome.code == "replay" and outcome.answer is not None:
-            self.ctx.counts["replays"] += 1
-            self.ctx.queue_action(
-                Replay(
-                    row.request_id,
-                    outcome.status,
-                    outcome.content_type,
-                    outcome.answer,
-                )
-            )
-            self._remove(row)
-        elif outcome.code == "replay":
-            self._fail_request(
-                row, 409, "ran", "it ran; its answer was too large to keep"
-            )
-        elif outcome.code == "mismatch":
-            self._fail_request(row, 422, NOT_RUN, outcome.detail)
-        elif outcome.code == "running":
-            self._fail_request(
-                row, 409, UNKNOWN, "a request with this key is running", 1
-            )
-        elif outcome.code == "aborted":
-            self._fail_request(row, 503, NOT_RUN, outcome.detail, 1)
-        else:
-            self._fail_request(row, 409, UNKNOWN, f"an earlier request: {outcome.code}")
-
     def _fail_request(
         self, row, status, outcome, detail, retry_after_s=None, *, silent=False
     ):
@@ -474,50 +389,3 @@
             self.loans.return_borrowed(holding)
         else:
             self.ctx.slots.release(attempt.slot, now_s)
-
-    # --- claims -----------------------------------------------------------
-
-    def _new_claim_id(self, row):
-        return f"{self.ctx.entry_id}/{self._incarnation}/{row.request_id}"
-
-    def _claim_key(self, row):
-        return row.info.service, row.info.key, row.claim_id
-
-    def _send_claim(self, row, now_s):
-        row.claim_state, row.claim_sent_s = "asked", now_s
-        cmd = Claim(
-            row.info.service,
-            row.info.key,
-            row.info.digest,
-            row.claim_id,
-            self.ctx.entry_id,
-            row.rules.retention_s * 1_000,
-        )
-        request_id = row.request_id
-        self.commands.send(cmd, lambda o, t: self.on_claim_outcome(request_id, o, t))
-
-    def _begin_abort(self, row, now_s):
-        """Ask control to record that the request under this claim will never run."""
-        self._dequeue(row)
-        row.claim_state, row.claim_sent_s = "aborting", now_s
-        request_id = row.request_id
-        self.commands.send(
-            Abort(*self._claim_key(row), row.rules.retention_s * 1_000),
-            lambda o, t: self.on_abort_outcome(request_id, o, t),
-        )
-
-    def _record_claim_end(self, row, cmd):
-        """Record at control how a claim ended, retrying until it is confirmed."""
-        row.claim_state = "none"
-        self.commands.send_until_confirmed(cmd)
-
-    def _retry_claim_command(self, row, now_s):
-        """Retry a claim or abort that control has not replied to."""
-        if row.claim_state not in ("asked", "aborting"):
-            return
-        if now_s - row.claim_sent_s < self.ctx.cfg.claim_retry_s:
-            return
-        if row.claim_state == "asked":
-            self._send_claim(row, now_s)
-        else:
-            self._begin_abort(row, now_s)
--- a/packages/snipebay-policy/tests/test_entry_core.py
+++ b/packages/snipebay-policy/tests/test_entry_core.py
@@ -13,9 +13,7 @@
 from snipebay_model.view import BackendRow, EntryRow, ViewDelta
 from snipebay_policy.context import EntryConfig
 from snipebay_policy.entry import EntryCore
-from snipebay_policy.health import HealthTable
 from snipebay_policy.lookup import BlockTable
-from snipebay_policy.shares import LinkMeter, Ramp, ShareMeter
 from snipebay_policy.slots import BUSY, FREE, LENT
 from snipebay_policy.work import Dispatch, Problem, Replay, RequestInfo, Send
 
@@ -353,59 +351,6 @@
         self.assertEqual(self.core.ctx.slots.count("read", FREE), 4)
 
 
-class TestShares(unittest.TestCase):
-    def test_shifted_share_never_exceeds_the_cap(self):
-        meter = ShareMeter(0.3)
-        for _ in range(1_000):
-            if meter.count_request({"b": 0.9}) is not None:
-                meter.count_shift()
-            self.assertLessEqual(meter.shifted, 0.3 * meter.total)
-        self.assertGreater(meter.shifted, 280)
-
-    def test_ramp_rate_is_limited_in_both_directions(self):
-        ramp = Ramp(0.1)
-        self.assertEqual(ramp.advance(0.5, 0.0), 0.0)
-        self.assertAlmostEqual(ramp.advance(0.5, 2.0), 0.2)
-        self.assertAlmostEqual(ramp.advance(0.0, 3.0), 0.1)
-
-    def test_link_traffic_stays_within_its_rate(self):
-        meter = LinkMeter(1_000.0)
-        taken = 0
-        for step in range(1_000):
-            if meter.allows(100, step / 100):
-                meter.consume(100, step / 100)
-                taken += 100
-        self.assertLessEqual(taken, 10_000 + 250 + 100)
-
-
-class TestHealth(unittest.TestCase):
-    def test_ejection_has_a_ceiling(self):
-        rules = attrs.make_class(
-            "R", ["eject_failures", "eject_ceiling", "eject_s", "slow_start_s"]
-        )(1, 0.5, 5, 0)
-        view = attrs.make_class("V", ["backends"])([backend_row(i) for i in range(4)])
-        table = HealthTable()
-        table.apply_view(view, lambda service: rules, 0.0)
-        for number in range(4):
-            table.record_failure(f"read-{number}", rules, 1.0)
-        usable = sum(table.is_usable(f"read-{i}", 1.0) for i in range(4))
-        self.assertEqual(usable, 2)
-
-    def test_latency_outlier_is_ejected(self):
-        rules = attrs.make_class(
-            "R", ["eject_failures", "eject_ceiling", "eject_s", "slow_start_s"]
-        )(5, 0.5, 5, 0)
-        view = attrs.make_class("V", ["backends"])([backend_row(i) for i in range(4)])
-        table = HealthTable()
-        table.apply_view(view, lambda service: rules, 0.0)
-        for _ in range(10):
-            for number in range(4):
-                latency_s = 0.5 if number == 0 else 0.01
-                table.record_success(f"read-{number}", latency_s, rules, 1.0)
-        self.assertFalse(table.is_usable("read-0", 1.0))
-        self.assertTrue(table.is_usable("read-1", 1.0))
-
-
 class TestLookup(EntryCase):
     def test_longest_block_wins(self):
         table = BlockTable([("10.0.0.0/8", "x"), ("10.1.0.0/16", "z")])
--- a/packages/snipebay-testbed/tests/test_quotas_with_control.py
+++ b/packages/snipebay-testbed/tests/test_quotas_with_control.py
@@ -6,7 +6,8 @@
 from snipebay_model.messages import ApplyWorkspacePlan
 from snipebay_model.workspace import Workspace, key_digest
 from snipebay_policy.arrivals import Arrival
-from snipebay_testbed.routed_rig import HOST, PREFIX, RoutedRig
+from snipebay_testbed.routed_host import HOST, PREFIX
+from snipebay_testbed.routed_rig import RoutedRig
 
 RATE = 40.0
 WINDOW_S = 5.0
