--- a/packages/snipebay-control/src/snipebay_control/core.py
+++ b/packages/snipebay-control/src/snipebay_control/core.py
@@ -259,7 +259,7 @@
                 RemoveBackend(row.backend_id, WITHDRAWN if row.leaving else reason),
             )
             for row in self.sessions.expired_backends(self.state, self._now_s)
-            if not self._delayed.is_renewing(row.backend_id)
+            if not self._delayed.has_pending_announcement(row.backend_id)
         ]
         for name, cmd in expired:
             if self._propose_once(cmd):
--- a/packages/snipebay-control/src/snipebay_control/delayed_commands.py
+++ b/packages/snipebay-control/src/snipebay_control/delayed_commands.py
@@ -53,9 +53,9 @@
             if _is_withdrawal(cmd):
                 self._state.registry.record_withdrawal(cmd.backend_id, index)
 
-    def is_renewing(self, backend_id):
+    def has_pending_announcement(self, backend_id):
         """Return True while an announcement of a backend server is not applied yet."""
-        return self._registrations.has_proposed(backend_id)
+        return self._registrations.has_pending_announcement(backend_id)
 
     def refusal(self, cmd, base_index):
         """Return the outcome of an outdated command, None if it may be proposed."""
@@ -85,7 +85,11 @@
             registry.withdrawal_index(backend_id),
         )
         # The sender is alive and would not be used, so it is not acknowledged.
-        if not row.leaving and base_index >= newest_index and registry.is_shadowed(row):
+        if (
+            not row.leaving
+            and base_index >= newest_index
+            and registry.is_superseded(row)
+        ):
             detail = f"{backend_id!r} is known with a later start, or has withdrawn"
             return Outcome("superseded", detail=detail)
         return None
--- a/packages/snipebay-control/src/snipebay_control/registration_guard.py
+++ b/packages/snipebay-control/src/snipebay_control/registration_guard.py
@@ -1,11 +1,15 @@
-"""Recognizes withdrawals of an earlier incarnation of a backend server."""
+"""Recognizes withdrawals of an earlier incarnation of a backend server.
+
+The load: backend servers that start again under their id, while a withdrawal of the
+incarnation before is still on its way.
+"""
 
 import attrs
 
 __all__ = ["RegistrationGuard"]
 
-# Fewer rows than this are not worth a walk over the table.
-MIN_PRUNED = 64
+# The table is walked only when it has this many rows more than twice the registered ids.
+MIN_PRUNED_ROWS = 64
 
 
 @attrs.frozen
@@ -82,11 +86,11 @@
         Args:
             backend_ids: Ids that are registered.
         """
-        if len(self._applied) > 2 * len(backend_ids) + MIN_PRUNED:
+        if len(self._applied) > 2 * len(backend_ids) + MIN_PRUNED_ROWS:
             known = self._applied.keys() & backend_ids
             self._applied = {i: self._applied[i] for i in known}
 
-    def has_proposed(self, backend_id):
+    def has_pending_announcement(self, backend_id):
         """Return True while an announcement of this leader is not applied."""
         return backend_id in self._proposed
 
--- a/packages/snipebay-control/src/snipebay_control/registry.py
+++ b/packages/snipebay-control/src/snipebay_control/registry.py
@@ -67,7 +67,7 @@
         )
         return next((f"{other!r} is newer at its address" for other in later), "")
 
-    def is_shadowed(self, row: BackendRow):
+    def is_superseded(self, row: BackendRow):
         """Return True for an announcement that a later start time of its id rules out.
 
         If it is known to be newer, its sender has started after a clock went back, or
--- a/packages/snipebay-policy/src/snipebay_policy/leaving_backends.py
+++ b/packages/snipebay-policy/src/snipebay_policy/leaving_backends.py
@@ -1,15 +1,14 @@
 """Remembers backend servers that said in a response that they are leaving.
 
-The load pattern: a backend server that can't reach control leaves. It ends a few
-seconds later whether control knows of it or not, and requests that are at work there
-are lost.
+The load: backend servers that leave while they can't reach control. They end soon
+afterwards whether control knows of it or not, and requests at work there are lost.
 """
 
 import attrs
 
 __all__ = ["LeavingBackends"]
 
-# Far more than can leave while an announcement or a view of before may still arrive.
+# Bounds the memory: the oldest mark is dropped for a new one.
 MAX_MARKS = 4_096
 
 
--- a/packages/snipebay-testbed/tests/test_invariants.py
+++ b/packages/snipebay-testbed/tests/test_invariants.py
@@ -14,8 +14,8 @@
 from snipebay_testbed.soak import run_seeds
 
 SEEDS = 200
-# One of so many seeds must show what happens without a mechanism.
-WITHOUT_SEEDS = 6
+# One of this many seeds must show what happens without a mechanism.
+SEEDS_WITHOUT_MECHANISM = 6
 JOBS = 6
 REPEAT = "python -m snipebay_testbed.soak --seeds 1 --first"
 
@@ -44,9 +44,13 @@
     def assert_violated(
         self, text, fault_names, first=0, fault_count=3, checks_per_s=60.0
     ):
-        """Check that a run of one of the seeds reports a violation with this text."""
+        """Check that a run of one of the seeds reports a violation with this text.
+
+        The first seed is one from which on the faults meet what the mechanism prevents;
+        which do depends on the number of messages, of which each draws a delay.
+        """
         violations = []
-        for seed in range(first, first + WITHOUT_SEEDS):
+        for seed in range(first, first + SEEDS_WITHOUT_MECHANISM):
             violations += run_seed(
                 seed, fault_names, fault_count, checks_per_s
             ).violations
