--- a/packages/snipebay-control/src/snipebay_control/registration_guard.py
+++ b/packages/snipebay-control/src/snipebay_control/registration_guard.py
@@ -8,7 +8,7 @@
 
 __all__ = ["RegistrationGuard"]
 
-# The table is walked only when it has this many rows more than twice the registered ids.
+# The table is pruned when it has this many rows over twice the number of ids.
 MIN_PRUNED_ROWS = 64
 
 
