Tests that builds on both sides of this issue work together

What the reader of the changes asked for: core.py, entry_replies.py, registration_guard.py and delayed_commands.py had tests of the present build alone.

The tests are about what exists and change no code. They don't fail before it, except that the landed build, put in place of the present one, removes i-2 and sends no announcement: both cases are checked.

--- a/packages/snipebay-testbed/tests/landed_build.py
+++ b/packages/snipebay-testbed/tests/landed_build.py
@@ -10,7 +10,7 @@
 import msgspec
 import numpy as np
 from snipebay_control.core import ControlConfig, ControlCore
-from snipebay_control.raft_log import PersistentState
+from snipebay_control.raft_log import PersistentState, Snapshot
 from snipebay_control.state import ControlState
 from snipebay_model import messages
 from snipebay_model.codec import CodecError, Envelope, decode, encode, encode_body
@@ -35,23 +35,35 @@
     ]
 
 
-def run_group():
-    """Return the core of a group of one that has applied the commands."""
-    cfg = ControlConfig("c1#a", ("c1",))
-    core = ControlCore(cfg, PersistentState(), np.random.default_rng(1), 0.0)
-    core.raft.bootstrap({"c1#a": True})
+def start_core(snapshot=b""):
+    """Return the core of a group of one that leads, with the state of a snapshot."""
+    node, rng = "c1#a", np.random.default_rng(1)
+    stored = PersistentState()
+    if snapshot:
+        members = ((node, True),)
+        stored = PersistentState(snapshot=Snapshot(20, 1, members, snapshot))
+    core = ControlCore(ControlConfig(node, ("c1",)), stored, rng, 0.0)
+    if not snapshot:
+        core.raft.bootstrap({node: True})
+    for tick in range(60):
+        work(core, 0.05 * tick)
+    return core
 
-    def work(now_s):
-        core.tick(now_s)
-        while not (ready := core.pop_ready()).is_empty:
-            core.complete_ready(ready)
 
-    for tick in range(100):
-        work(0.05 * tick)
+def work(core, now_s):
+    """Run the work of a control core that is due."""
+    core.tick(now_s)
+    while not (ready := core.pop_ready()).is_empty:
+        core.complete_ready(ready)
+
+
+def run_group():
+    """Return the core of a group of one that has applied the commands."""
+    core = start_core()
     for number, cmd in enumerate(commands()):
         request = messages.CommandRequest(number, *encode_body(cmd))
-        core.receive("client", request, 5.0 + number * 0.05)
-        work(5.0 + number * 0.05)
+        core.receive("client", request, 3.0 + number * 0.05)
+        work(core, 3.0 + number * 0.05)
     return core
 
 
@@ -123,16 +135,25 @@
         describe_plan(state.plan)
 
 
-def make_statements():
-    """Return what an entry and a control instance send about themselves."""
+def make_entry(controls=("c2", "c3", "c4", "c5", "c1")):
+    """Return the core of an entry instance."""
     row = EntryRow("e0", "x", "10.0.0.1:80", "e0", "a", "a-1")
-    entry = RoutedCore(RoutedConfig(row), ("c1",))
-    entry.tick(1.0)
-    renew = next(
-        action.body
+    return RoutedCore(RoutedConfig(row), controls)
+
+
+def next_renewal(entry, now_s):
+    """Return the next renewal that an entry instance sends."""
+    entry.tick(now_s)
+    return next(
+        action
         for action in entry.pop_actions()
-        if isinstance(action.body, messages.Renew)
+        if isinstance(getattr(action, "body", None), messages.Renew)
     )
+
+
+def make_statements():
+    """Return what an entry and a control instance send about themselves."""
+    renew = next_renewal(make_entry(), 1.0).body
     raft = ControlCore(
         ControlConfig("c1#a", ("c1",)),
         PersistentState(),
@@ -202,6 +223,47 @@
     describe(state)
 
 
+def withdraw_late(snapshot):
+    """Print the outcome of a withdrawal older than the registrations in a snapshot."""
+    core = start_core(snapshot)
+    cmd = attrs.evolve(withdrawal(), backend_id="i-2")
+    if hasattr(cmd, "born_ms"):
+        cmd = attrs.evolve(cmd, born_ms=4)
+    request = messages.CommandRequest(3, *encode_body(cmd), base_index=0)
+    core.receive("client", request, 3.0)
+    work(core, 3.0)
+    (reply,) = (body for to, body in core.pop_messages() if to == "client")
+    print(reply.outcome.code, sorted(core.state.backends))
+
+
+def leader_messages(name):
+    """Return what a leader sends, unasked or as a reply, to an entry instance."""
+    entry = make_entry()
+    core = start_core()
+    if name == "reply":
+        renewal = next_renewal(entry, 1.0).body
+        # The reply to the second one has changes for the instance, which is known then.
+        for now_s in (3.0, 3.25):
+            core.receive(entry.row.entry_id, renewal, now_s)
+            work(core, now_s)
+    else:
+        core.state.apply(*encode_body(messages.PutEntry(entry.row)))
+    work(core, 3.5)
+    bodies = [body for to, body in core.pop_messages() if to == entry.row.entry_id]
+    frames = [encode(Envelope("c1#a", body)) for body in bodies]
+    return msgspec.msgpack.encode(frames)
+
+
+def follow_leader(raw):
+    """Print whom an entry instance asks before and after the messages of a leader."""
+    entry = make_entry()
+    print(next_renewal(entry, 1.0).target, end=" ")
+    for frame in msgspec.msgpack.decode(raw):
+        envelope = decode(frame)
+        entry.receive(envelope.sender, envelope.body, 1.1)
+    print(next_renewal(entry, 2.0).target)
+
+
 def incarnations():
     """Return encoded commands about incarnations that follow each other or are late."""
     rng = np.random.default_rng(1)
@@ -250,6 +312,12 @@
         sys.stdout.buffer.write(encode(Envelope("e-1", request)))
     elif name == "withdraw":
         apply_withdrawal(raw[0])
+    elif name == "withdraw-late":
+        withdraw_late(raw[0])
+    elif name in ("announcement", "reply"):
+        sys.stdout.buffer.write(leader_messages(name))
+    elif name == "follow":
+        follow_leader(raw[0])
     elif name == "log":
         sys.stdout.buffer.write(incarnations())
     elif name == "replay":
--- a/packages/snipebay-testbed/tests/test_landed_build.py
+++ b/packages/snipebay-testbed/tests/test_landed_build.py
@@ -93,6 +93,30 @@
                 found = self.exchange(writer, "withdrawal", reader, "withdraw")
                 self.assertEqual(found, "7 [] ['i-2'] ['i-1']")
 
+    def test_late_withdrawal_on_the_snapshot_of_the_other_build(self):
+        """Guards against a restarted backend server that is removed in an update."""
+        found = self.exchange("landed", "dump", "present", "withdraw-late")
+        self.assertEqual(found, "outdated ['i-2']")
+        # The landed build doesn't compare incarnations.
+        found = self.exchange("present", "dump", "landed", "withdraw-late")
+        self.assertEqual(found, "ok []")
+
+    def test_entry_instances_follow_the_leader_of_the_other_build(self):
+        """Guards against a new leader that instances of the other build don't ask."""
+        for writer, writes, reader in (
+            ("landed", "reply", "present"),
+            ("present", "reply", "landed"),
+            ("present", "announcement", "landed"),
+            ("present", "announcement", "present"),
+        ):
+            with self.subTest(writer=writer, writes=writes, reader=reader):
+                found = self.exchange(writer, writes, reader, "follow")
+                self.assertEqual(found, "c2 c1")
+
+    def test_landed_leader_does_not_announce_itself(self):
+        found = self.exchange("landed", "announcement", "present", "follow")
+        self.assertEqual(found, "c2 c2")
+
     def test_both_apply_the_same_log(self):
         """Guards against replicas that differ while builds run side by side."""
         path = self.folder / "log"
